--- a/irisgauge/adapter.py
+++ b/harecross/adapter.py
@@ -5,25 +5,14 @@
 
 from __future__ import annotations
 
-import json
 import sys
-from math import isfinite
 from struct import Struct
 from struct import error as StructError
 from typing import Any, BinaryIO
 
-from irisgauge.decide import Balancer
-from irisgauge.interface import (
-    ClassSettings,
-    Effect,
-    Group,
-    ListKind,
-    Outcome,
-    ServerEntry,
-    Settings,
-    State,
-    TenantSettings,
-)
+from harecross.decide import Balancer
+from harecross.interface import ListKind, Outcome, ServerEntry, State
+from harecross.settings import read_settings
 
 HEADER = Struct("<IIQ")
 LENGTH = Struct("<I")
@@ -63,16 +52,6 @@
     444: Outcome.CANCELLED,
     409: Outcome.NOT_SENT,
 }
-EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
-COLUMNS = {
-    "concurrent": "inflight",
-    "depth": "queue",
-    "load_share": "util",
-    "mean_ms": "latency_ms",
-    "tps": "qps",
-    "err_ps": "eps",
-}
 STATES = {0: State.GONE, 1: State.READY, 2: State.DRAINING}
 REPEAT_FLAG = 2
 LONGEST_TIMER = 4_260_000_000
@@ -83,101 +62,6 @@
     """Input that is not a frame of the wire."""
 
 
-class Table:
-    """One object of the settings, read key by key; a value that cannot be is refused by its full key."""
-
-    def __init__(self, value: Any, where: str = "") -> None:
-        if not isinstance(value, dict):
-            raise ValueError(f"settings: {where.rstrip('.') or 'the whole'} is not an object")
-        self.value: dict[str, Any] = value
-        self.where = where
-
-    def get(self, key: str, kinds: tuple[type, ...], default: Any) -> Any:
-        """The value; a key that is absent or null takes the default, and without one (...) is refused."""
-        value = self.value.get(key)
-        if value is None and default is not ...:
-            return default
-        if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-            raise ValueError(f"settings: missing or impossible value for {self.where}{key}")
-        return value
-
-    def number(self, key: str, default: Any = ...) -> float:
-        value = float(self.get(key, (int, float), default))
-        if not isfinite(value):
-            raise ValueError(f"settings: missing or impossible value for {self.where}{key}")
-        return value
-
-    def whole(self, key: str, default: Any = ...) -> int:
-        return int(self.number(key, default))
-
-    def flag(self, key: str) -> bool:
-        return bool(self.get(key, (bool,), False))
-
-    def text(self, key: str, default: Any = ...) -> str:
-        return str(self.get(key, (str,), default))
-
-    def texts(self, key: str) -> list[str]:
-        return [str(item) for item in self.get(key, (list,), [])]
-
-    def table(self, key: str, default: Any = ...) -> Table:
-        return Table(self.get(key, (dict,), default), f"{self.where}{key}.")
-
-    def tables(self, key: str, default: Any = ...) -> list[Table]:
-        items = self.get(key, (list,), default)
-        return [Table(item, f"{self.where}{key}[{i}].") for i, item in enumerate(items)]
-
-
-def read_class(c: Table) -> ClassSettings:
-    """An effect not known counts as unsafe, a group not known as the narrowest."""
-    return ClassSettings(
-        effect=EFFECTS.get(c.text("effect"), Effect.UNSAFE),
-        aim=c.whole("goal_time"),
-        deadline=c.whole("hard_limit"),
-        worth=c.number("worth"),
-        late_worth=c.number("late_value", 0.0),
-        group=GROUPS.get(c.text("group", ""), Group.CELL),
-        window=c.whole("window", 0),
-        stream=c.flag("stream"),
-    )
-
-
-def read_settings(text: bytes) -> Settings:
-    """The settings of a CREATE event. A missing or impossible value is a ValueError that names the key."""
-    try:
-        env = Table(json.loads(text))
-    except RecursionError:
-        raise WireError("settings are not JSON: nested too deep") from None
-    except UnicodeDecodeError as e:
-        raise WireError(f"settings are not JSON: {e.reason}") from None
-    except json.JSONDecodeError as e:
-        raise WireError(f"settings are not JSON: {e}") from None
-    limits = env.table("policy_limits")
-    rules = env.table("rules")
-    return Settings(
-        classes=tuple(read_class(c) for c in env.tables("classes")),
-        tenants=tuple(TenantSettings(quota=t.number("quota_rps", 0.0)) for t in env.tables("tenants", [])),
-        tier=env.whole("tier", 0),
-        tiers=max(1, len(env.texts("layers"))),
-        zone=env.whole("zone", 0),
-        instances=env.whole("group_size"),
-        tick=env.whole("tick"),
-        max_attempts=limits.whole("max_attempts"),
-        cancel=limits.flag("cancel"),
-        retry_after=limits.flag("retry_after"),
-        max_retry_after=limits.whole("max_retry_after", 0),
-        max_open=limits.whole("max_open", 20000),
-        list_on_request=env.text("discovery", "") == "ask",
-        list_ask_within=rules.whole("ask_within", 0),
-        cold_time=rules.whole("cold"),
-        cold_share=rules.number("start_capacity"),
-        fall_multiple=rules.number("fall_multiple"),
-        fall_time=rules.whole("tip_after"),
-        cross_zone_price=env.table("deductions", {}).number("cross_zone", 0.0),
-        over_share_worth=env.number("over_share_worth", 1.0),
-        report_fields=tuple(COLUMNS.get(f, f) for f in env.table("report", {}).texts("columns")),
-    )
-
-
 class WireActions:
     """One instance's actions, packed into the process's reply."""
 
@@ -412,7 +296,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as e:
-        print(f"irisgauge: {e}", file=sys.stderr)
+        print(f"harecross: {e}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/irisgauge/decide.py
+++ b/harecross/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of irisgauge. The interface (types, events, actions) is in irisgauge/interface.py.
+"""Every decision of harecross. The interface (types, events, actions) is in harecross/interface.py.
 
 A copy's calls pass one gradient controller (limit on calls in flight, refusal at the limit) and then go
 to the less busy of two random members of a bounded random subset of the servers. docs/design.md tells
@@ -12,7 +12,7 @@
 from math import ceil, exp, sqrt
 from random import Random
 
-from irisgauge.interface import (
+from harecross.interface import (
     NEVER_RAN,
     Actions,
     Effect,
--- a/irisgauge/interface.py
+++ b/harecross/interface.py
@@ -1,7 +1,7 @@
 """The decision module's interface: settings, servers, outcomes, actions and events.
 
 Times are integer microseconds of one monotonic clock that the host passes in as `now`.
-Everything a host must know to embed `irisgauge.decide.Balancer` stands in this file.
+Everything a host must know to embed `harecross.decide.Balancer` stands in this file.
 """
 
 from __future__ import annotations
--- a/irisgauge/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""irisgauge: the decisions of a load balancer for services that call services."""
-
-__version__ = "0.1.0"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from irisgauge import adapter
-from irisgauge.adapter import Host, WireActions, WireError, read_settings, serve
-from irisgauge.interface import Effect, Group
+from harecross import adapter
+from harecross.adapter import Host, WireActions, WireError, read_settings, serve
+from harecross.interface import Effect, Group
 
 ROOT = Path(__file__).parent.parent
 ENV = {
@@ -167,7 +167,7 @@
 
 
 def start(data: bytes) -> subprocess.CompletedProcess:
-    command = [sys.executable, "-m", "irisgauge.adapter"]
+    command = [sys.executable, "-m", "harecross.adapter"]
     return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, timeout=60)
 
 
@@ -178,7 +178,7 @@
     assert bad.returncode == 2
     assert bad.stdout == struct.pack("<I", 0), "standard output carries the wire only"
     (line,) = bad.stderr.decode().splitlines()
-    assert line.startswith("irisgauge: batch 1") and re.search(message, line)
+    assert line.startswith("harecross: batch 1") and re.search(message, line)
 
 
 def test_the_end_of_input_ends_the_process():
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from irisgauge.decide import (
+from harecross.decide import (
     BURST,
     HEADROOM_MOST,
     LEAST_MOST,
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,8 +3,8 @@
 import pytest
 from support import BASE, KEYED, SAFE, SEC, UNSAFE, ask, balancer, end
 
-from irisgauge.decide import FADE, Balancer, Shares
-from irisgauge.interface import (
+from harecross.decide import FADE, Balancer, Shares
+from harecross.interface import (
     NEVER_RAN,
     ClassSettings,
     Effect,
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 from support import BASE, SEC, Recorder
 
-from irisgauge.decide import Balancer
-from irisgauge.interface import (
+from harecross.decide import Balancer
+from harecross.interface import (
     NEVER_RAN,
     ClassSettings,
     Effect,
@@ -255,7 +255,7 @@
 
 @pytest.mark.parametrize("part", ["decide", "interface"])
 def test_names_and_wire_words_stay_out_of_the_decisions(part):
-    text = (ROOT / "irisgauge" / f"{part}.py").read_text()
+    text = (ROOT / "harecross" / f"{part}.py").read_text()
     wire = ("guarded", "single_shot", "policy_limits", "RELAY", "BOUNCE", "import os", "hash(")
     names = ("norrkoping", "hobart", "kyushu", "kolkata", "wallet", "coastal", "intake", "ledger", "front-")
     for word in (*wire, *names):
@@ -263,7 +263,7 @@
 
 
 def test_the_module_stays_small():
-    lines = (ROOT / "irisgauge" / "decide.py").read_text().splitlines()
+    lines = (ROOT / "harecross" / "decide.py").read_text().splitlines()
     assert 300 <= sum(1 for line in lines if line.strip()) <= 1200
     assert max(map(len, lines)) <= 110
 
