Test the node over loopback sockets, bound a request's head

Cause: a head of 200 KB went through whole, since the count of a message's bytes began anew with each message and the parser takes 256 KB at once. The head is now counted header by header. Checked: bodies, plain and chunked, were bounded already. Before: 200 KB head served. Conclusion: nothing of a request beyond 32 KB of head and 64 KiB of body is kept.

--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -86,6 +86,8 @@
         self.callers = Callers(self.host, settings, names, tenants, most=room // 2)
         self.known = config.get("known")
         self.listen = config["listen"]
+        self.address: tuple[str, int] = ("", 0)  # where it listens, once `ready` is set
+        self.ready = asyncio.Event()
         self.stop = asyncio.Event()
         self.lag = 0.0
         self.lag_said = 0.0
@@ -114,8 +116,9 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 20, 20)
-        bound = sock.getsockname()
-        say(f"listening on {bound[0]}:{bound[1]}")
+        self.address = sock.getsockname()
+        say(f"listening on {self.address[0]}:{self.address[1]}")
+        self.ready.set()
         await self.stop.wait()
         await self.drain(server, sock)
 
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -15,6 +15,7 @@
 
 BODY_MOST = 1 << 16
 HEAD_MOST = 1 << 15
+MESSAGE_MOST = 4 * BODY_MOST  # chunks cost bytes of their own
 AHEAD = 8  # requests that may wait on one connection before it is read no further
 SLOW = 10_000_000  # a request that takes so long to come is given up
 LINGER = 1.0  # seconds in which what still comes is thrown away, so that the answer is not
@@ -71,6 +72,7 @@
         "headers",
         "body",
         "size",
+        "head_size",
         "reading",
         "keep",
     )
@@ -87,13 +89,14 @@
         self.busy = False  # a request is being handled
         self.keep = True
         self.reading = False  # part of a request has come
+        self.size = 0  # bytes of it so far
         self.clear()
 
     def clear(self) -> None:
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
-        self.size = 0
+        self.head_size = 0
 
     # ---- asyncio --------------------------------------------------------------------------------------
 
@@ -122,7 +125,9 @@
             inner = e.__context__
             self.refuse_rest(inner.status if isinstance(inner, BadRequest) else 400)
         else:
-            if self.reading and self.size > BODY_MOST + 2 * HEAD_MOST:
+            if not self.reading:
+                self.size = 0
+            elif self.size > MESSAGE_MOST:
                 self.refuse_rest(431)
         if len(self.queue) >= AHEAD and self.transport is not None:
             self.transport.pause_reading()
@@ -142,6 +147,10 @@
             raise BadRequest(431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        # Guards against: a head without end fills the memory of all requests together.
+        self.head_size += len(name) + len(value)
+        if self.head_size > HEAD_MOST:
+            raise BadRequest(431)
         self.headers.append((name, value))
 
     def on_body(self, data: bytes) -> None:
@@ -150,15 +159,12 @@
             raise BadRequest(413)
 
     def on_headers_complete(self) -> None:
-        if self.size > HEAD_MOST + BODY_MOST:
-            raise BadRequest(431)
         for name, value in self.headers:
             if name.lower() == b"content-length" and int(value) > BODY_MOST:
                 raise BadRequest(413)
 
     def on_message_complete(self) -> None:
         self.reading = False
-        self.size = 0
         assert self.parser is not None
         keep = self.parser.should_keep_alive()
         method = self.parser.get_method()
--- /dev/null
+++ b/tests/node_support.py
@@ -0,0 +1,225 @@
+"""Scripted servers, a scripted discovery and a caller, all on loopback and on ports the system picks."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+import uvloop
+
+from harecross.node.__main__ import Node
+
+SETTINGS = {
+    "classes": [
+        {"name": "read", "effect": "free", "goal_time": 20_000_000, "hard_limit": 30_000_000, "worth": 1},
+        {
+            "name": "put",
+            "effect": "guarded",
+            "goal_time": 20_000_000,
+            "hard_limit": 30_000_000,
+            "worth": 5,
+            "group": "cell",
+            "window": 20_000_000,
+        },
+        {
+            "name": "pay",
+            "effect": "single_shot",
+            "goal_time": 20_000_000,
+            "hard_limit": 30_000_000,
+            "worth": 5,
+        },
+    ],
+    "dcs": ["here", "there"],
+    "kinds": ["m1", "m2"],
+    "layers": ["front"],
+    "discovery": "push",
+    "group_size": 1,
+    "tick": 5000,
+    "policy_limits": {
+        "cancel": True,
+        "conn_idle": 15_000_000,
+        "connect_timeout": 5_000_000,
+        "max_attempts": 3,
+        "max_retry_after": 1_500_000,
+        "retry_after": True,
+    },
+    "report": {"columns": ["load_share", "err_ps"], "how": "inline"},
+    "rules": {"cold": 5_000_000, "start_capacity": 0.4, "fall_multiple": 3.0, "tip_after": 1_000_000},
+}
+WAIT = 30  # seconds after which a test has failed; nothing is timed more closely
+
+
+def run(test: Awaitable[None]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(WAIT):
+            await test
+
+    uvloop.run(limited())
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """Head and body of one message; IncompleteReadError when the connection ends first."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    size = 0
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            size = int(value)
+    return head, await reader.readexactly(size)
+
+
+async def listen(serve) -> tuple[asyncio.Server, str]:
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+class Arrived:
+    """A request at a server."""
+
+    def __init__(self, head: bytes, body: bytes, writer: asyncio.StreamWriter, link: int) -> None:
+        self.head, self.body, self.writer = head, body, writer
+        self.link = link  # the number of the connection it came on
+        self.gone = asyncio.Event()  # the node has closed the connection
+
+    def answer(self, status: int = 200, body: bytes = b"ok", extra: bytes = b"") -> None:
+        self.writer.write(
+            b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s" % (status, len(body), extra, body)
+        )
+
+    def header(self, name: bytes) -> bytes:
+        for line in self.head.split(b"\r\n"):
+            found, _, value = line.partition(b": ")
+            if found == name:
+                return value
+        return b""
+
+
+class Origin:
+    """A server: what arrives stands in `arrived` until the test answers it."""
+
+    def __init__(self) -> None:
+        self.arrived: asyncio.Queue[Arrived] = asyncio.Queue()
+        self.links = 0
+        self.closed: asyncio.Queue[int] = asyncio.Queue()  # connections that the node closed
+
+    async def start(self) -> Origin:
+        self.server, self.address = await listen(self.serve)
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        link = self.links
+        self.links += 1
+        item = None
+        try:
+            while True:
+                head, body = await read_message(reader)
+                item = Arrived(head, body, writer, link)
+                self.arrived.put_nowait(item)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed.put_nowait(link)
+            if item is not None:
+                item.gone.set()
+            writer.close()
+
+
+class Catalog:
+    """Discovery: watches stand in `watches`, each with the path it asked for."""
+
+    def __init__(self) -> None:
+        self.watches: asyncio.Queue[tuple[bytes, asyncio.StreamWriter]] = asyncio.Queue()
+
+    async def start(self) -> Catalog:
+        self.server, self.address = await listen(self.serve)
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head, _ = await read_message(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watches.put_nowait((head.split(b" ")[1], writer))
+
+    @staticmethod
+    def push(writer: asyncio.StreamWriter, line: bytes) -> None:
+        writer.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+
+
+def entry(name: str, address: str, state: str = "in_service", **more) -> dict:
+    base = {"instanceId": name, "hostPort": address, "zone": "here", "machineType": "m1", "cell": 0}
+    return {**base, "lifecycle": state, "weight": 1.0, "startedAtMs": 0, **more}
+
+
+def update(generation: int, *entries: dict, reset: bool = False) -> dict:
+    return {"generation": generation, "reset": reset, "instances": list(entries)}
+
+
+def line(generation: int, *entries: dict, reset: bool = False) -> bytes:
+    return json.dumps(update(generation, *entries, reset=reset)).encode()
+
+
+class Client:
+    """A caller on one connection."""
+
+    @classmethod
+    async def open(cls, address: tuple[str, int]) -> Client:
+        client = cls()
+        client.reader, client.writer = await asyncio.open_connection(*address)
+        return client
+
+    def send(
+        self, path: str = "/read/1", left: str = "25000m", body: bytes = b"", key: str = "", **more: str
+    ):
+        headers = {"Host": "backend.local", "X-Request-ID": "r1", "X-Timeout": left}
+        headers.update({name.replace("_", "-"): value for name, value in more.items()})
+        if key:
+            headers["Idempotency-Key"] = key
+        method = "GET" if path.startswith("/read") or path.startswith("/_") else "POST"
+        if method == "POST":
+            headers["Content-Length"] = str(len(body))
+        text = "".join(f"{k}: {v}\r\n" for k, v in headers.items() if v)
+        self.writer.write(f"{method} {path} HTTP/1.1\r\n{text}\r\n".encode() + body)
+
+    async def answer(self) -> tuple[int, bytes, bytes]:
+        head, body = await read_message(self.reader)
+        return int(head.split(b" ")[1]), head, body
+
+
+class World:
+    """A node with some servers and a discovery."""
+
+    def __init__(self, node: Node, origins: list[Origin], catalog: Catalog, task: asyncio.Task) -> None:
+        self.node, self.origins, self.catalog, self.task = node, origins, catalog, task
+
+    def client(self) -> Awaitable[Client]:
+        return Client.open(self.node.address)
+
+    async def watch(self) -> asyncio.StreamWriter:
+        return (await self.catalog.watches.get())[1]
+
+
+def with_node(
+    test: Callable[[World], Awaitable[None]], servers: int = 1, known: list[dict] | None = None, **limits
+) -> None:
+    """Runs a test against a node that knows so many servers."""
+
+    async def body() -> None:
+        origins = [await Origin().start() for _ in range(servers)]
+        catalog = await Catalog().start()
+        entries = known or [entry(f"s{i}", o.address) for i, o in enumerate(origins)]
+        config = {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": catalog.address,
+            "seed": "8c1f",
+            "limits": {"sockets": 1024, **limits},
+            "known": update(41, *entries, reset=True),
+            "settings": SETTINGS,
+        }
+        node = Node(config)
+        task = asyncio.create_task(node.run())
+        await node.ready.wait()
+        try:
+            await test(World(node, origins, catalog, task))
+        finally:
+            task.cancel()
+
+    run(body())
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,565 @@
+"""The node over loopback sockets: one test for each failure it guards against."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from node_support import SETTINGS, Catalog, Client, Origin, World, entry, line, run, update, with_node
+
+from harecross.decide import Balancer
+from harecross.interface import ListKind, Outcome, State
+from harecross.node.callers import time_left
+from harecross.node.discovery import Directory
+from harecross.node.servers import Exchange, Servers, clock, read_report, report_places
+
+ROOT = Path(__file__).parent.parent
+
+
+# ---- serving ------------------------------------------------------------------------------------------
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send("/put/user-7?x=1", body=b"\x00body", key="k1", left="20000m", X_Tenant_Id="acme")
+        at = await w.origins[0].arrived.get()
+        assert at.head.startswith(b"POST /put/user-7?x=1 HTTP/1.1\r\n") and at.body == b"\x00body"
+        assert (at.header(b"X-Request-ID"), at.header(b"Idempotency-Key")) == (b"r1", b"k1")
+        left = at.header(b"X-Timeout")
+        assert left.endswith(b"u") and 0 < int(left[:-1]) < 20_000_000
+        at.answer(body=b"\xffanswer", extra=b"X-Server-Load: util=0.5,eps=0\r\n")
+        status, _, body = await client.answer()
+        assert (status, body) == (200, b"\xffanswer")
+
+    with_node(test)
+
+
+def test_a_request_in_single_bytes_and_two_at_once():
+    async def test(w: World) -> None:
+        client = await w.client()
+        text = b"GET /read/%d HTTP/1.1\r\nX-Request-ID: r%d\r\nX-Timeout: 20s\r\n\r\n".replace(
+            b"20s", b"20000m"
+        )
+        for i in text % (1, 1):
+            client.writer.write(bytes([i]))
+            await client.writer.drain()
+        (await w.origins[0].arrived.get()).answer(body=b"one")
+        assert (await client.answer())[2] == b"one"
+        client.writer.write(text % (2, 2) + text % (3, 3))
+        first = await w.origins[0].arrived.get()
+        assert b"/read/2" in first.head and w.origins[0].arrived.empty()
+        first.answer(body=b"two")
+        second = await w.origins[0].arrived.get()
+        second.answer(body=b"three")
+        assert [(await client.answer())[2] for _ in "ab"] == [b"two", b"three"]
+        assert w.origins[0].links == 1
+
+    with_node(test)
+
+
+def test_chunked_bodies_both_ways():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.writer.write(
+            b"POST /pay/1 HTTP/1.1\r\nX-Request-ID: r\r\nX-Timeout: 9000m\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        at = await w.origins[0].arrived.get()
+        assert at.body == b"abcde" and b"chunked" not in at.head
+        at.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwxyz\r\n0\r\n\r\n")
+        assert (await client.answer())[2] == b"wxyz"
+
+    with_node(test)
+
+
+HEAD = b" HTTP/1.1\r\nX-Request-ID: r\r\nX-Timeout: 9000m\r\n"
+BAD = {
+    "not HTTP": (b"\x16\x03\x01 hello\r\n\r\n", 400),
+    "no time": (b"GET /read/1 HTTP/1.1\r\nX-Request-ID: r\r\n\r\n", 400),
+    "odd time": (b"GET /read/1 HTTP/1.1\r\nX-Request-ID: r\r\nX-Timeout: soon\r\n\r\n", 400),
+    "no id": (b"GET /read/1 HTTP/1.1\r\nX-Timeout: 9000m\r\n\r\n", 400),
+    "no key": (b"POST /put/1" + HEAD + b"Content-Length: 0\r\n\r\n", 400),
+    "unknown class": (b"GET /nothing/1" + HEAD + b"\r\n", 404),
+    "bad length": (b"POST /pay/1" + HEAD + b"Content-Length: x\r\n\r\n", 400),
+    "large body": (b"POST /pay/1" + HEAD + b"Content-Length: 65537\r\n\r\n", 413),
+    "large chunk": (
+        b"POST /pay/1" + HEAD + b"Transfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65537 + b"\r\n",
+        413,
+    ),
+    "large head": (b"GET /read/1" + HEAD + b"X-A: " + b"x" * 200_000 + b"\r\n\r\n", 431),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_input_gets_its_status_and_reaches_nobody(name):
+    text, status = BAD[name]
+
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.writer.write(text)
+        got, head, _ = await client.answer()
+        assert got == status
+        assert w.node.host.last_id == 0 and w.origins[0].links == 0
+        if b"Connection: close" in head:
+            assert await client.reader.read() == b""
+            client = await w.client()
+        # The node, and the connection where framing is sound, go on.
+        client.send()
+        (await w.origins[0].arrived.get()).answer()
+        assert (await client.answer())[0] == 200
+
+    with_node(test)
+
+
+def test_health():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send("/_health")
+        assert (await client.answer())[0] == 200
+
+    with_node(test)
+
+
+def test_times_with_their_units():
+    assert [time_left(t) for t in (b"480m", b"250u", b"1.5m", b" 3m ")] == [480_000, 250, 1500, 3000]
+    assert [time_left(t) for t in (b"", b"5", b"-5m", b"5s", b"m")] == [None] * 5
+
+
+# ---- outcomes -----------------------------------------------------------------------------------------
+
+
+def test_a_kept_connection_that_breaks_under_a_request_may_have_run():
+    """It looks like a connection that never came up; sent again, the request could run twice."""
+
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send("/pay/1")
+        (await w.origins[0].arrived.get()).answer()
+        assert (await client.answer())[0] == 200
+        client.send("/pay/2")
+        at = await w.origins[0].arrived.get()
+        at.writer.close()
+        assert (await client.answer())[0] == 502  # failed: no promise
+        assert at.link == 0 and all(o.arrived.empty() for o in w.origins)
+
+    with_node(test)
+
+
+def test_a_server_s_error_fails_a_request_that_must_not_run_twice():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send("/pay/1")
+        (await w.origins[0].arrived.get()).answer(500)
+        assert (await client.answer())[0] == 502
+
+    with_node(test)
+
+
+def test_what_was_turned_away_unseen_is_sent_again():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send("/pay/1")
+        origin = w.origins[0]
+        (await origin.arrived.get()).answer(503, extra=b"X-Not-Processed: 1\r\n")
+        (await origin.arrived.get()).answer(504, extra=b"x-not-processed: 1\r\n")
+        (await origin.arrived.get()).answer(200, body=b"done")
+        assert (await client.answer())[2] == b"done"
+
+    with_node(test)
+
+
+def test_a_plain_503_may_have_run():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send("/pay/1")
+        (await w.origins[0].arrived.get()).answer(503)
+        assert (await client.answer())[0] == 502
+        assert w.origins[0].arrived.empty()
+
+    with_node(test)
+
+
+def test_a_refused_connection_is_a_refusal_at_once_with_advice():
+    async def test(w: World) -> None:
+        w.origins[0].server.close()
+        await w.origins[0].server.wait_closed()
+        client = await w.client()
+        client.send("/pay/1")
+        status, head, _ = await client.answer()
+        assert status == 503 and b"Retry-After: 1.500\r\n" in head
+
+    with_node(test)
+
+
+@pytest.mark.parametrize("how", ["close", "stray", "early"])
+def test_a_connection_in_doubt_is_not_used_again(how):
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send()
+        at = await w.origins[0].arrived.get()
+        if how == "stray":
+            at.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n")
+        else:
+            at.answer(extra=b"Connection: close\r\n" if how == "close" else b"")
+        assert (await client.answer())[2] == b"ok"
+        if how == "early":
+            at.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+        await at.gone.wait()
+        client.send()
+        again = await w.origins[0].arrived.get()
+        again.answer(body=b"right")
+        assert again.link == 1 and (await client.answer())[2] == b"right"
+
+    with_node(test)
+
+
+def test_the_connection_used_last_is_used_first():
+    async def test(w: World) -> None:
+        clients = [await w.client() for _ in "ab"]
+        for client in clients:
+            client.send()
+        held = [await w.origins[0].arrived.get() for _ in clients]
+        for at in held:
+            at.answer()
+        for client in clients:
+            await client.answer()
+        (target,) = w.node.servers.targets.values()
+        last = target.idle[-1]
+        clients[0].send()
+        at = await w.origins[0].arrived.get()
+        assert last.exchange is not None and len(target.idle) == 1
+        at.answer()
+        await clients[0].answer()
+        # An idle connection is dropped before the server would close it.
+        for conn in target.idle:
+            conn.since -= 14_000_000
+        w.node.servers.sweep()
+        assert {await w.origins[0].closed.get() for _ in clients} == {0, 1}
+
+    with_node(test)
+
+
+# ---- one final answer ---------------------------------------------------------------------------------
+
+
+def test_a_client_that_leaves_ends_its_attempt():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send()
+        at = await w.origins[0].arrived.get()
+        client.writer.close()
+        await at.gone.wait()
+        while w.node.host.requests:
+            await asyncio.sleep(0)
+        assert w.node.host.answered["left"] == 1
+
+    with_node(test)
+
+
+def test_a_silent_server_costs_the_client_no_more_than_its_time():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send("/pay/1", left="300m")
+        at = await w.origins[0].arrived.get()
+        assert (await client.answer())[0] == 502
+        await at.gone.wait()  # an answer that came later would meet the next request
+        assert not w.node.host.requests
+
+    with_node(test)
+
+
+def forget(self, *args):
+    """A module that takes a request and does nothing."""
+
+
+def burst(self, *args):
+    raise RuntimeError("boom")
+
+
+@pytest.mark.parametrize("fault", [forget, burst])
+def test_whatever_the_module_does_an_answer_goes_out(monkeypatch, fault):
+    async def test(w: World) -> None:
+        client = await w.client()
+        with monkeypatch.context() as m:
+            m.setattr(Balancer, "request", fault)
+            client.send(left="300m")
+            assert (await client.answer())[0] == 502
+        assert not w.node.host.requests
+        client.send()
+        (await w.origins[0].arrived.get()).answer()
+        assert (await client.answer())[0] == 200
+
+    with_node(test)
+
+
+def test_an_exception_at_an_outcome_ends_that_request_only(monkeypatch):
+    async def test(w: World) -> None:
+        client = await w.client()
+        with monkeypatch.context() as m:
+            m.setattr(Balancer, "outcome", burst)
+            client.send("/pay/1")
+            (await w.origins[0].arrived.get()).answer(500)
+            assert (await client.answer())[0] == 502
+        client.send()
+        (await w.origins[0].arrived.get()).answer()
+        assert (await client.answer())[0] == 200
+
+    with_node(test)
+
+
+# ---- the list -----------------------------------------------------------------------------------------
+
+
+def test_nothing_new_goes_to_a_server_that_drains_or_was_restarted():
+    async def test(w: World) -> None:
+        client, watch, origin = await w.client(), await w.watch(), w.origins[0]
+        client.send()
+        (await origin.arrived.get()).answer()
+        await client.answer()
+        Catalog.push(watch, line(42, entry("s0", origin.address, startedAtMs=1000)))
+        assert await origin.closed.get() == 0  # the old process's connection
+        client.send()
+        at = await origin.arrived.get()
+        Catalog.push(watch, line(43, entry("s0", origin.address, "terminating", startedAtMs=1000)))
+        while w.node.directory.generation < 43:
+            await asyncio.sleep(0)
+        at.answer(body=b"finished")  # what it has it finishes
+        assert at.link == 1 and (await client.answer())[2] == b"finished"
+        assert await origin.closed.get() == 1
+        client.send()
+        assert (await client.answer())[0] == 503
+        assert origin.arrived.empty() and origin.links == 2
+
+    with_node(test)
+
+
+@pytest.mark.parametrize("what", ["drains", "late", "given up", "up"])
+def test_the_list_and_the_clock_are_looked_at_again_after_a_connect(what, monkeypatch):
+    """A connection may take a while to come up; what has changed meanwhile holds for its first byte."""
+
+    async def test() -> None:
+        origin = await Origin().start()
+        pool = Servers(20_000_000, 15_000_000, [], 10)
+        pool.update(1, origin.address, 0, True)
+        outcomes: asyncio.Queue[Outcome] = asyncio.Queue()
+        real = pool.loop.create_connection
+        begun, go = asyncio.Event(), asyncio.Event()
+
+        class Slow:
+            async def create_connection(self, *args):
+                begun.set()
+                await go.wait()
+                return await real(*args)
+
+            def __getattr__(self, name):
+                return getattr(real.__self__, name)
+
+        pool.loop = Slow()
+        head = b"GET /read/1 HTTP/1.1\r\nX-Request-ID: r\r\n"
+        exchange = Exchange(1, head, b"", clock() + 20_000_000, lambda e, o, *rest: outcomes.put_nowait(o))
+        pool.send(exchange)
+        await begun.wait()
+        if what == "drains":
+            pool.update(1, origin.address, 0, False)
+        elif what == "late":
+            exchange.until = 0
+        elif what == "given up":
+            pool.abandon(exchange, Outcome.CANCELLED)
+        go.set()
+        if what == "up":
+            (await origin.arrived.get()).answer()
+            assert await outcomes.get() == Outcome.OK
+        else:
+            assert await outcomes.get() == Outcome.NOT_SENT
+            while pool.tasks:
+                await asyncio.sleep(0)
+            # A connection to a server in service is kept, and the next exchange uses it.
+            assert len(pool.targets[1].idle) == (what != "drains")
+            if what == "drains":
+                assert await origin.closed.get() == 0
+            assert origin.arrived.empty()
+        pool.shut()
+
+    run(test())
+
+
+def test_a_watch_comes_back_after_what_it_last_read():
+    async def test(w: World) -> None:
+        path, watch = await w.catalog.watches.get()
+        assert path == b"/catalog/members?watch=1&after=41"
+        Catalog.push(watch, b"")
+        Catalog.push(watch, line(44, entry("s0", w.origins[0].address), reset=True))
+        Catalog.push(watch, b'{"generation": 45, "instances": 7}')
+        path, watch = await w.catalog.watches.get()  # the bad line was not passed over
+        assert path.endswith(b"after=44")
+        Catalog.push(watch, line(46, entry("s0", w.origins[0].address, "terminated"), {"instanceId": "s9"}))
+        watch.close()
+        path, _ = await w.catalog.watches.get()
+        assert path.endswith(b"after=46")
+        client = await w.client()
+        client.send()
+        assert (await client.answer())[0] == 503
+
+    with_node(test)
+
+
+def test_a_list_in_pieces_and_a_server_that_moved():
+    async def test(w: World) -> None:
+        watch = await w.watch()
+        text = line(42, entry("s0", w.origins[1].address), reset=True) + b"\n"
+        for part in (text[:20], text[20:]):
+            watch.write(b"%x\r\n%s\r\n" % (len(part), part))
+            await watch.drain()
+        while w.node.directory.generation < 42:
+            await asyncio.sleep(0)
+        client = await w.client()
+        client.send("/pay/1")
+        (await w.origins[1].arrived.get()).answer()
+        assert (await client.answer())[0] == 200 and w.origins[0].links == 0
+
+    with_node(test, servers=2)
+
+
+class Lists:
+    def __init__(self) -> None:
+        self.got: list[tuple] = []
+
+    def server_list(self, kind, entries) -> None:
+        self.got.append((kind, list(entries)))
+
+
+def test_entries_become_the_module_s():
+    async def test() -> None:
+        host, pool = Lists(), Servers(1, 1, [], 1)
+        directory = Directory(host, pool, ["here", "there"], ["m1", "m2"])
+        now_ms = (clock() + directory.unix_offset) // 1000
+        item = entry("b", "127.0.0.1:1", zone="there", machineType="m2", cell=3, startedAtMs=now_ms - 1000)
+        directory.apply(update(1, entry("a", "127.0.0.1:1"), item, "junk"), cached=True)
+        directory.apply(update(2, item, entry("c", "127.0.0.1:1", "resting")))
+        (kind, (a, b)), (later, (b2, c)) = host.got
+        assert (kind, later) == (ListKind.CACHED, ListKind.CHANGES)
+        assert (a.ready_at, b.cell, b.zone, b.kind) == (0, 3, 1, 1)
+        assert b == b2 and c.state == State.DRAINING  # the same number and start in every list
+        assert abs(clock() - b.ready_at) < 60_000_000
+        directory.apply(update(3, item, reset=True))
+        assert host.got[-1][0] == ListKind.FULL
+        assert [t.ready for _, t in sorted(pool.targets.items())] == [False, True, False]
+
+    run(test())
+
+
+# ---- limits and reports -------------------------------------------------------------------------------
+
+
+def test_load_reports_under_either_name():
+    places = report_places(["load_share", "err_ps"])
+    assert list(read_report(b"inflight=7,util=0.5, eps=2", places, 2)) == [0.5, 2.0]
+    assert list(read_report(b"load_share=0.25,err_ps=0", places, 2)) == [0.25, 0.0]
+    assert read_report(b"util=0.5", places, 2) == read_report(b"util=x,eps=1", places, 2) == ()
+
+
+def test_near_the_descriptor_limit_work_is_refused():
+    async def test(w: World) -> None:
+        w.node.servers.most, w.node.callers.most = 2, 3
+        clients = [await w.client() for _ in range(4)]
+        held = []
+        for client in clients[:2]:
+            client.send()
+            held.append(await w.origins[0].arrived.get())
+        clients[2].send()
+        status, head, _ = await clients[2].answer()
+        assert status == 503 and b"Connection: close" in head
+        for at in held:
+            at.answer()
+        assert {(await c.answer())[0] for c in clients[:2]} == {200}
+        clients[3].send()
+        (await w.origins[0].arrived.get()).answer()
+        assert (await clients[3].answer())[0] == 200 and w.origins[0].links == 2
+
+    with_node(test)
+
+
+def test_probes():
+    async def test(w: World) -> None:
+        seen: asyncio.Queue[tuple] = asyncio.Queue()
+        w.node.host.balancer.probed = lambda *args: seen.put_nowait(args[1:])
+        w.node.host.probe(1)
+        at = await w.origins[0].arrived.get()
+        assert at.head.startswith(b"GET /_load ")
+        at.answer(body=b"util=0.5,eps=1")
+        server, ok, _, report = await seen.get()
+        assert (server, ok, list(report)) == (1, True, [0.5, 1.0])
+
+    with_node(test)
+
+
+# ---- the process --------------------------------------------------------------------------------------
+
+
+def start_node(tmp_path: Path, config: dict) -> subprocess.Popen:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config))
+    env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+    return subprocess.Popen(
+        [sys.executable, "-m", "harecross.node"],
+        cwd=ROOT,
+        env={**env, "LB_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def test_a_planned_restart_loses_nothing(tmp_path):
+    async def test() -> None:
+        origin, catalog = await Origin().start(), await Catalog().start()
+        config = {"name": "n", "listen": "127.0.0.1:0", "discovery": catalog.address, "seed": "1"}
+        known = update(1, entry("s", origin.address), reset=True)
+        process = start_node(tmp_path, {**config, "known": known, "settings": SETTINGS})
+        read = asyncio.get_running_loop().run_in_executor
+        first = await read(None, process.stderr.readline)
+        host, _, port = first.split()[-1].rpartition(":")
+        old, idle = await Client.open((host, int(port))), await Client.open((host, int(port)))
+        idle.send("/_health")
+        assert (await idle.answer())[0] == 200
+        old.send()
+        held = await origin.arrived.get()
+        process.send_signal(signal.SIGTERM)
+        assert await idle.reader.read() == b""  # closed between requests
+        new = await Client.open((host, int(port)))  # connections go on coming
+        new.send()
+        (await origin.arrived.get()).answer()
+        status, head, _ = await new.answer()
+        assert status == 200 and b"Connection: close" in head
+        held.answer(body=b"late")
+        assert (await old.answer())[2] == b"late"
+        assert await read(None, process.wait) == 0
+        process.stderr.close()
+
+    run(test())
+
+
+GOOD = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "settings": SETTINGS}
+
+
+@pytest.mark.parametrize(
+    "config",
+    [
+        {k: v for k, v in GOOD.items() if k != "settings"},
+        {**GOOD, "listen": "nowhere"},
+        {**GOOD, "seed": "not hex"},
+        {**GOOD, "settings": {**SETTINGS, "classes": []}},
+        [],
+    ],
+)
+def test_a_bad_configuration_is_one_line_and_status_2(tmp_path, config):
+    process = start_node(tmp_path, config)
+    _, text = process.communicate(timeout=60)
+    assert process.returncode == 2
+    assert len(text.splitlines()) == 1 and text.startswith("harecross: ")
