Report how things stand each 10 s; end pipelined and stopping connections cleanly

Also, from reading: a paused connection that held only bad requests was never read again, an answer with Connection: close could stand before others still to come, and a half-sent request could hold up the exit; all three are mended.

--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -24,8 +24,9 @@
 RESERVE = 40  # descriptors for everything but callers and servers
 STILL_COMING = 0.6  # seconds after SIGTERM; connections come for 0.4
 LAST_REQUESTS = 0.2  # seconds for requests on connections that came last
+FLUSH = 0.3  # seconds at most for answers that are still being written
 LAG_SHOWN = 0.05
-LAG_EVERY = 10.0  # seconds between two lines on it
+REPORT_EVERY = 10.0  # seconds between two lines on how things stand
 
 
 class BadConfig(Exception):
@@ -90,7 +91,7 @@
         self.ready = asyncio.Event()
         self.stop = asyncio.Event()
         self.lag = 0.0
-        self.lag_said = 0.0
+        self.reported = self.loop.time()
 
     async def run(self) -> None:
         self.host.start()
@@ -144,8 +145,10 @@
         self.callers.close_all()
         self.watch.listen(False)
         self.servers.shut()
-        await asyncio.sleep(0.02)
-        self.callers.report()
+        end = self.loop.time() + FLUSH
+        while self.callers.open and self.loop.time() < end:
+            await asyncio.sleep(0.01)
+        self.host.report()
 
     def every(self, seconds: float, do: Callable[[], None]) -> None:
         due = self.loop.time() + seconds
@@ -161,9 +164,12 @@
         self.servers.sweep()
         self.callers.sweep()
         now = self.loop.time()
-        if self.lag > LAG_SHOWN and now > self.lag_said + LAG_EVERY:
-            say(f"the event loop was {self.lag * 1000:.0f} ms late")
-            self.lag_said, self.lag = now, 0.0
+        if now >= self.reported + REPORT_EVERY:
+            self.reported = now
+            self.host.report()
+            if self.lag > LAG_SHOWN:
+                say(f"the event loop was {self.lag * 1000:.0f} ms late")
+            self.lag = 0.0
 
 
 async def run(config: dict[str, Any]) -> None:
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -10,7 +10,7 @@
 from httptools import HttpParserError, HttpRequestParser
 
 from harecross.interface import Effect, Settings
-from harecross.node.host import Host, Message, Request, guard, say
+from harecross.node.host import Host, Message, Request, guard
 from harecross.node.servers import HOST, clock
 
 BODY_MOST = 1 << 16
@@ -75,6 +75,7 @@
         "head_size",
         "reading",
         "keep",
+        "paused",
     )
 
     def __init__(self, front: Callers) -> None:
@@ -88,6 +89,7 @@
         self.closing = False  # no further request is read
         self.busy = False  # a request is being handled
         self.keep = True
+        self.paused = False
         self.reading = False  # part of a request has come
         self.size = 0  # bytes of it so far
         self.clear()
@@ -129,7 +131,8 @@
                 self.size = 0
             elif self.size > MESSAGE_MOST:
                 self.refuse_rest(431)
-        if len(self.queue) >= AHEAD and self.transport is not None:
+        if len(self.queue) >= AHEAD and self.transport is not None and not self.paused:
+            self.paused = True
             self.transport.pause_reading()
         if not self.busy:
             self.next()
@@ -224,7 +227,10 @@
             return
         self.last_used = clock()
         self.served_any = True
-        last = not self.keep or self.front.stopping or self.front.crowded()
+        if not self.keep:
+            self.queue.clear()  # the caller has said that nothing more comes
+        # What has come already is answered before the connection ends.
+        last = not self.keep or not self.queue and (self.front.stopping or self.front.crowded())
         transport.write(
             b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s\r\n%s"
             % (
@@ -236,10 +242,13 @@
                 body,
             )
         )
-        if last and not self.queue:
+        if last:
             self.shut()
-        elif was_busy and self.queue:
+            return
+        if self.paused and len(self.queue) < AHEAD:
+            self.paused = False
             transport.resume_reading()
+        if was_busy and self.queue:
             self.front.loop.call_soon(self.next)
 
     def shut(self) -> None:
@@ -345,11 +354,9 @@
 
     def close_all(self) -> None:
         for caller in list(self.open):
-            if caller.idle() and caller.transport is not None:
+            if caller.transport is not None:
                 caller.transport.close()
 
-    def busy(self) -> int:
-        return sum(not c.idle() for c in self.open)
-
-    def report(self) -> None:
-        say("answers " + " ".join(f"{k}={v}" for k, v in self.host.answered.items()))
+    def busy(self) -> bool:
+        """Whether a request that came whole has no answer yet."""
+        return any(c.busy or c.queue for c in self.open)
--- a/harecross/node/host.py
+++ b/harecross/node/host.py
@@ -92,6 +92,16 @@
     def start(self) -> None:
         self.balancer.start(clock())
 
+    def report(self) -> None:
+        """One line on how things stand."""
+        parts: dict[str, float] = {
+            **self.answered,
+            "open": self.servers.open,
+            "reports": self.servers.reports,
+        }
+        parts.update({k: round(v, 2) for k, v in self.balancer.stats().items()})
+        say(" ".join(f"{k}={v}" for k, v in parts.items()))
+
     # ---- from callers ---------------------------------------------------------------------------------
 
     def take(self, caller: Answers, message: Message) -> Request:
--- a/harecross/node/servers.py
+++ b/harecross/node/servers.py
@@ -233,6 +233,7 @@
             text = body  # /_load answers with the report itself
         if text:
             report = read_report(text, self.pool.places, self.pool.fields)
+            self.pool.reports += bool(report)
         whole = self.sent  # an answer before the last byte has left leaves half a request on the line
         self.exchange = None
         self.complete = False
@@ -273,6 +274,7 @@
         self.fields = len(columns)
         self.most = most  # connections at once
         self.open = 0
+        self.reports = 0  # load reports read
         self.targets: dict[int, Target] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
