--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -118,6 +118,20 @@
     with_node(test)
 
 
+def test_many_bad_requests_at_once_do_not_stop_a_connection():
+    """Past what may wait on a connection it is read no further; after the answers it must be read again."""
+
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.writer.write((b"GET /nothing/1" + HEAD + b"\r\n") * 20)
+        assert {(await client.answer())[0] for _ in range(20)} == {404}
+        client.send()
+        (await w.origins[0].arrived.get()).answer()
+        assert (await client.answer())[0] == 200
+
+    with_node(test)
+
+
 def test_health():
     async def test(w: World) -> None:
         client = await w.client()
@@ -531,6 +545,8 @@
         old, idle = await Client.open((host, int(port))), await Client.open((host, int(port)))
         idle.send("/_health")
         assert (await idle.answer())[0] == 200
+        half = await Client.open((host, int(port)))
+        half.writer.write(b"GET /read/1 HTTP/1.1\r\n")  # not taken, and must not hold up the exit
         old.send()
         held = await origin.arrived.get()
         process.send_signal(signal.SIGTERM)
@@ -542,6 +558,7 @@
         assert status == 200 and b"Connection: close" in head
         held.answer(body=b"late")
         assert (await old.answer())[2] == b"late"
+        assert await half.reader.read() == b""
         assert await read(None, process.wait) == 0
         process.stderr.close()
 
