SIGHUP reads the configuration again and moves the watch

Cause: no handler for SIGHUP, so its default action ended the node (status 129) and lost what it held. Reading the configuration now lives in node/config.py; Discovery (node/discovery.py) keeps the old watch until the new one has brought its whole list, since a version of one address may mean nothing at another. LB_DISCOVERY counts at the start only. A bad file is logged and the old one kept; a second or late signal does no harm.

--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections import deque
+from collections.abc import Sequence
 from typing import cast
 
 from httptools import HttpParserError, HttpRequestParser
@@ -271,7 +272,7 @@
     """The listener and its connections."""
 
     def __init__(
-        self, host: Host, settings: Settings, names: list[str], tenants: list[str], most: int
+        self, host: Host, settings: Settings, names: Sequence[str], tenants: Sequence[str], most: int
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.host = host
--- /dev/null
+++ b/harecross/node/config.py
@@ -0,0 +1,100 @@
+"""The configuration: read at the start, and again on SIGHUP."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from harecross.interface import Settings
+from harecross.settings import Table, settings_from
+
+
+class BadConfig(Exception):
+    """A configuration that the node cannot work with."""
+
+
+@dataclass(frozen=True)
+class Config:
+    """What the node is told. `raw` is the object it was read from."""
+
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    connect_timeout: int
+    idle_time: int
+    columns: Sequence[str]
+    classes: Sequence[str]
+    tenants: Sequence[str]
+    zones: Sequence[str]
+    kinds: Sequence[str]
+    settings: Settings
+    known: Any
+    raw: dict[str, Any]
+
+
+def address_in(raw: dict[str, Any], key: str) -> tuple[str, int]:
+    value = raw.get(key)
+    if not isinstance(value, str):
+        raise BadConfig(f"{key} is not set")
+    host, _, port = value.rpartition(":")
+    if not host or not (port.isascii() and port.isdecimal()) or int(port) > 65535:
+        raise BadConfig(f"{key}: {value!r} is not an address")
+    return host, int(port)
+
+
+def config_from(raw: Any) -> Config:
+    """The configuration in a parsed object; BadConfig tells what is wrong with it."""
+    if not isinstance(raw, dict):
+        raise BadConfig("not an object")
+    try:
+        settings = settings_from(raw.get("settings"))
+        env = Table(raw.get("settings"))
+        limits = env.table("policy_limits")
+        report = env.table("report", {})
+        return Config(
+            listen=address_in(raw, "listen"),
+            discovery=address_in(raw, "discovery"),
+            seed=int(str(raw.get("seed", "0")), 16),
+            sockets=Table(raw).table("limits", {}).whole("sockets", 1024),
+            connect_timeout=limits.whole("connect_timeout", 250_000),
+            idle_time=limits.whole("conn_idle", 15_000_000),
+            columns=report.texts("columns") if report.text("how", "off") != "off" else [],
+            classes=[c.text("name") for c in env.tables("classes")],
+            tenants=[t.text("name") for t in env.tables("tenants", [])],
+            zones=env.texts("dcs"),
+            kinds=env.texts("kinds"),
+            settings=settings,
+            known=raw.get("known"),
+            raw=raw,
+        )
+    except ValueError as e:
+        raise BadConfig(str(e)) from None
+
+
+def read_config(again: bool = False) -> Config:
+    """The file that LB_CONFIG names.
+
+    At the start the variables go before the file; when it is read again only the file counts.
+    Guards against: a file that names a new discovery is overruled by the variable the process began with.
+    """
+    path = os.environ.get("LB_CONFIG")
+    if not path:
+        raise BadConfig("LB_CONFIG is not set")
+    try:
+        with open(path, "rb") as f:
+            raw = json.load(f)
+    except OSError as e:
+        raise BadConfig(f"{path}: {e.strerror}") from None
+    except (ValueError, RecursionError) as e:
+        raise BadConfig(f"{path}: not JSON: {e}") from None
+    if isinstance(raw, dict) and not again:
+        for key, name in (("listen", "LB_LISTEN"), ("discovery", "LB_DISCOVERY")):
+            raw[key] = os.environ.get(name) or raw.get(key)
+    try:
+        return config_from(raw)
+    except BadConfig as e:
+        raise BadConfig(f"{path}: {e}") from None
--- a/harecross/node/discovery.py
+++ b/harecross/node/discovery.py
@@ -30,7 +30,6 @@
         self.zones = {name: i for i, name in enumerate(zones)}
         self.kinds = {name: i for i, name in enumerate(kinds)}
         self.numbers: dict[str, int] = {}
-        self.generation = 0
         # Fixed once: the module takes any other start time for another process.
         self.unix_offset = time.time_ns() // 1000 - clock()
 
@@ -42,11 +41,11 @@
         """A name's position in the settings; one that is not there gets a position after the others."""
         return names.setdefault(name, len(names))
 
-    def apply(self, update: Any, cached: bool = False) -> None:
+    def apply(self, update: Any, cached: bool = False, full: bool = False) -> None:
         """One list or change. ValueError if it is none; a bad entry is logged and left out."""
         if not isinstance(update, dict) or not isinstance(update.get("instances"), list):
             raise ValueError("no list of servers")
-        full = cached or bool(update.get("reset"))
+        full = full or cached or bool(update.get("reset"))
         entries = []
         for item in update["instances"]:
             try:
@@ -58,9 +57,6 @@
             for server in self.servers.targets:
                 if server not in listed:
                     self.servers.withdraw(server)
-        generation = update.get("generation")
-        if isinstance(generation, int):
-            self.generation = generation
         kind = ListKind.CACHED if cached else ListKind.FULL if full else ListKind.CHANGES
         self.host.server_list(kind, entries)
 
@@ -102,7 +98,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.write(
             b"GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n"
-            % (self.path, self.watch.address)
+            % (self.path, b"%s:%d" % (self.watch.address[0].encode(), self.watch.address[1]))
         )
 
     def data_received(self, data: bytes) -> None:
@@ -139,7 +135,7 @@
         if not line or self.ended.done():
             return
         try:
-            self.watch.directory.apply(json.loads(line))
+            self.watch.told(json.loads(line))
         except (ValueError, RecursionError) as e:
             # Guards against: a change that could not be read is missed for good. The next watch starts
             # after the last one that could.
@@ -156,44 +152,42 @@
 
 
 class Watch:
-    """Keeps a watch open. Where lists are pushed it comes back by itself; where they are asked for, the
-    module is told of the end and asks again when it wants."""
+    """A watch at one address, opened anew whenever it ends, until `close`."""
 
-    def __init__(self, directory: Directory, address: str, asked: bool) -> None:
-        self.directory = directory
-        self.address = address.encode()
-        host, _, port = address.rpartition(":")
-        self.host, self.port = host, int(port)
-        self.asked = asked
-        self.task: asyncio.Task[None] | None = None
-        self.fetching: set[asyncio.Task[None]] = set()
-        self.loop = asyncio.get_running_loop()
-
-    def listen(self, on: bool) -> None:
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
-        if on:
-            self.task = self.loop.create_task(self.run())
-
-    def fetch(self) -> None:
-        task = self.loop.create_task(self.ask_once())
-        self.fetching.add(task)
-        task.add_done_callback(self.fetching.discard)
+    def __init__(self, discovery: Discovery, address: tuple[str, int], generation: int | None) -> None:
+        self.discovery = discovery
+        self.address = address
+        self.generation = generation  # the last version read; None before the first whole list
+        self.closed = False
+        self.task = discovery.loop.create_task(self.run())
 
-    async def ask_once(self) -> None:
-        if not await self.call(b"/catalog/members"):
-            self.failed()
+    def close(self) -> None:
+        self.closed = True
+        self.task.cancel()
 
-    def failed(self) -> None:
-        self.directory.host.server_list(ListKind.FAILED, [])
+    def told(self, update: Any) -> None:
+        """One line of this watch; nothing counts that comes after the watch has been given up."""
+        if self.closed:
+            return
+        self.discovery.directory.apply(update, full=self.generation is None)
+        generation = update.get("generation")
+        if isinstance(generation, int):
+            self.generation = generation
+        elif self.generation is None:
+            self.generation = 0
+        self.discovery.settled(self)
 
     async def run(self) -> None:
         wait = BACKOFF_FIRST
         while True:
-            good = await self.call(b"/catalog/members?watch=1&after=%d" % self.directory.generation)
-            if self.asked:
-                self.failed()
+            if self.generation is None:
+                good = await self.call(b"/catalog/members") and self.generation is not None
+                if good:
+                    continue
+            else:
+                good = await self.call(b"/catalog/members?watch=1&after=%d" % self.generation)
+            if self.discovery.asked and self.discovery.current is self:
+                self.discovery.failed()
                 return
             wait = BACKOFF_FIRST if good else min(2 * wait, BACKOFF_MOST)
             await asyncio.sleep(wait)
@@ -203,7 +197,7 @@
         stream = Stream(self, path)
         try:
             async with asyncio.timeout(CONNECT):
-                await self.loop.create_connection(lambda: stream, self.host, self.port)
+                await self.discovery.loop.create_connection(lambda: stream, *self.address)
             # Guards against: a machine that has gone leaves the connection open and silent.
             while not stream.ended.done():
                 left = stream.heard + SILENCE - time.monotonic()
@@ -216,3 +210,82 @@
         finally:
             stream.stop()
         return stream.good
+
+
+class Discovery:
+    """The watch in use and, while the node moves to another address, the one that comes up there.
+
+    Where lists are pushed a watch comes back by itself; where they are asked for, the module is told of
+    the end and asks again when it wants.
+    """
+
+    def __init__(self, directory: Directory, address: tuple[str, int], asked: bool) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.directory = directory
+        self.address = address
+        self.asked = asked
+        self.generation: int | None = 0
+        self.current: Watch | None = None
+        self.coming: Watch | None = None
+        self.fetching: set[asyncio.Task[None]] = set()
+
+    def begin(self, known: Any) -> None:
+        """The list of the configuration, as it was once told at the same address."""
+        self.directory.apply(known, cached=True)
+        generation = known.get("generation")
+        if isinstance(generation, int):
+            self.generation = generation
+
+    def listen(self, on: bool) -> None:
+        for watch in (self.current, self.coming):
+            if watch is not None:
+                self.generation = watch.generation
+                watch.close()
+        self.current = self.coming = None
+        if on:
+            self.current = Watch(self, self.address, self.generation)
+
+    def move(self, address: tuple[str, int]) -> bool:
+        """Goes to another address; False if that is where the node is, or is going, already.
+
+        Guards against: between two watches a change is missed. The old one counts until the new one has
+        brought its first list, and that is asked for whole: a version of the old address may mean nothing
+        at the new one.
+        """
+        if address == self.address:
+            return False
+        self.address = address
+        if self.coming is not None:
+            self.coming.close()
+            self.coming = None
+        if self.current is None:
+            self.generation = None
+        elif address == self.current.address:
+            return True  # back before the other one had come up
+        else:
+            self.coming = Watch(self, address, None)
+        return True
+
+    def settled(self, watch: Watch) -> None:
+        """A watch has brought a list."""
+        if watch is self.coming:
+            if self.current is not None:
+                self.current.close()
+            self.current, self.coming = watch, None
+            say(f"discovery: moved to {watch.address[0]}:{watch.address[1]}")
+
+    def fetch(self) -> None:
+        task = self.loop.create_task(self.ask_once())
+        self.fetching.add(task)
+        task.add_done_callback(self.fetching.discard)
+
+    async def ask_once(self) -> None:
+        watch = self.current
+        good = False
+        if watch is not None:
+            good = await watch.call(b"/catalog/members")
+        if not good:
+            self.failed()
+
+    def failed(self) -> None:
+        self.directory.host.server_list(ListKind.FAILED, [])
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from harecross.node.__main__ import Node
+from harecross.node.config import config_from
 
 SETTINGS = {
     "classes": [
@@ -124,7 +125,9 @@
 
 
 class Catalog:
-    """Discovery: watches stand in `watches`, each with the path it asked for."""
+    """Discovery: watches stand in `watches`, each with the path it asked for; `whole` answers other calls."""
+
+    whole = b""
 
     def __init__(self) -> None:
         self.watches: asyncio.Queue[tuple[bytes, asyncio.StreamWriter]] = asyncio.Queue()
@@ -135,6 +138,9 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head, _ = await read_message(reader)
+        if b"watch=1" not in head:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(self.whole), self.whole))
+            return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watches.put_nowait((head.split(b" ")[1], writer))
 
@@ -214,7 +220,7 @@
             "known": update(41, *entries, reset=True),
             "settings": SETTINGS,
         }
-        node = Node(config)
+        node = Node(config_from(config))
         task = asyncio.create_task(node.run())
         await node.ready.wait()
         try:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -342,7 +342,7 @@
         client.send()
         at = await origin.arrived.get()
         Catalog.push(watch, line(43, entry("s0", origin.address, "terminating", startedAtMs=1000)))
-        while w.node.directory.generation < 43:
+        while w.node.discovery.current.generation < 43:
             await asyncio.sleep(0)
         at.answer(body=b"finished")  # what it has it finishes
         assert at.link == 1 and (await client.answer())[2] == b"finished"
@@ -431,7 +431,7 @@
         for part in (text[:20], text[20:]):
             watch.write(b"%x\r\n%s\r\n" % (len(part), part))
             await watch.drain()
-        while w.node.directory.generation < 42:
+        while w.node.discovery.current.generation < 42:
             await asyncio.sleep(0)
         client = await w.client()
         client.send("/pay/1")
@@ -520,14 +520,14 @@
 # ---- the process --------------------------------------------------------------------------------------
 
 
-def start_node(tmp_path: Path, config: dict) -> subprocess.Popen:
+def start_node(tmp_path: Path, config: dict, **variables: str) -> subprocess.Popen:
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config))
     env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
     return subprocess.Popen(
         [sys.executable, "-m", "harecross.node"],
         cwd=ROOT,
-        env={**env, "LB_CONFIG": str(path)},
+        env={**env, **variables, "LB_CONFIG": str(path)},
         stderr=subprocess.PIPE,
         text=True,
     )
@@ -565,6 +565,85 @@
     run(test())
 
 
+def test_sighup_moves_to_the_discovery_that_the_file_names_now(tmp_path):
+    """The signal killed the node. A bad file must not either, nor the start's variable hold it back."""
+
+    async def test() -> None:
+        servers = [await Origin().start() for _ in "ab"]
+        old, new = await Catalog().start(), await Catalog().start()
+        config = {"name": "n", "listen": "127.0.0.1:0", "discovery": old.address, "seed": "1"}
+        known = update(41, entry("s", servers[0].address), reset=True)
+        config = {**config, "known": known, "settings": SETTINGS}
+        process = start_node(tmp_path, config, LB_DISCOVERY=old.address)
+        read = asyncio.get_running_loop().run_in_executor
+
+        async def said(text: str) -> str:
+            while text not in (line := await read(None, process.stderr.readline)):
+                assert line, "the node has ended"
+            return line
+
+        host, _, port = (await said("listening")).split()[-1].rpartition(":")
+        _, first = await old.watches.get()
+        (tmp_path / "config.json").write_text("{")
+        process.send_signal(signal.SIGHUP)
+        await said("configuration not changed")
+        (tmp_path / "config.json").write_text(json.dumps({**config, "discovery": new.address}))
+        # The new one has versions of its own, and its list is asked for whole.
+        new.whole = line(7, entry("t", servers[1].address), reset=True)
+        process.send_signal(signal.SIGHUP)
+        await said("moving")
+        await said("moved")
+        path, second = await new.watches.get()
+        assert path.endswith(b"after=7")
+        process.send_signal(signal.SIGHUP)  # once more changes nothing
+        await said("as before")
+        Catalog.push(first, line(42, entry("t", servers[1].address, "terminated")))  # no longer heard
+        client = await Client.open((host, int(port)))
+        client.send()
+        (await servers[1].arrived.get()).answer()
+        assert (await client.answer())[0] == 200 and servers[0].links == 0 and old.watches.empty()
+        Catalog.push(second, line(8, entry("t", servers[1].address, "terminated")))
+        status = 200
+        while status == 200:
+            client.send()
+            answer = asyncio.ensure_future(client.answer())
+            arrival = asyncio.ensure_future(servers[1].arrived.get())
+            await asyncio.wait([answer, arrival], return_when=asyncio.FIRST_COMPLETED)
+            if arrival.done():
+                arrival.result().answer()
+            status = (await answer)[0]
+            arrival.cancel()
+        assert status == 503
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)  # and while stopping it does no harm
+        assert await read(None, process.wait) == 0
+        process.stderr.close()
+
+    run(test())
+
+
+def test_the_old_discovery_counts_until_the_new_one_has_brought_a_list():
+    async def test(w: World) -> None:
+        watch, new = await w.watch(), await Catalog().start()
+        assert w.node.discovery.move(("127.0.0.1", 1))  # nobody there
+        Catalog.push(watch, line(42, entry("s0", w.origins[1].address)))
+        while w.node.discovery.current.generation < 42:
+            await asyncio.sleep(0)
+        client = await w.client()
+        client.send("/pay/1")
+        (await w.origins[1].arrived.get()).answer()
+        assert (await client.answer())[0] == 200
+        host, _, port = new.address.rpartition(":")
+        new.whole = line(3, entry("s0", w.origins[0].address), reset=True)
+        assert w.node.discovery.move((host, int(port)))
+        assert (await new.watches.get())[0].endswith(b"after=3")
+        client.send("/pay/2")
+        (await w.origins[0].arrived.get()).answer()
+        assert (await client.answer())[0] == 200
+
+    with_node(test, servers=2)
+
+
 GOOD = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "settings": SETTINGS}
 
 
