Few copies start near what such a copy carries

Ruled out: servers turning away (none), latency (p50 below the later one). At fault: GradientController's first pass holds one of two copies to 12 calls, less the reservation, where it carries 35; after it 'usual' begins at nothing and the limit doubles once a window. The first pass of few copies now begins at START_MOST times a pass's limit (a thin copy's as before), and what it carried in good time is the first 'usual'.

--- a/harecross/decide.py
+++ b/harecross/decide.py
@@ -73,6 +73,7 @@
 BURST = 4  # calls in flight that a copy held to less on average may have at one instant
 LEAST_MOST = 3  # floors a copy may always reach: nine calls a server, all copies together
 SOLE_MOST = 2  # floors it may reach outside passes even where a pass's limit on few members is less
+START_MOST = 3.0  # times a pass's limit that few copies start with: each carries much and knows nothing yet
 SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
 SPILL_STEP = 0.04  # and by so much at most
 SHARE_DEPTH = 3.0  # calls a tenant may save up, or one second of its quota: arrivals cluster in thin shares
@@ -123,6 +124,7 @@
         "credit",
         "counted_at",
         "pass_limit",
+        "start_limit",
         "ceiling",
         "rng",
         "passes",
@@ -138,7 +140,7 @@
         self.floor = float(MIN_LIMIT)
         self.credit = 0.0
         self.counted_at = now
-        self.pass_limit = float(MIN_LIMIT)
+        self.pass_limit = self.start_limit = float(MIN_LIMIT)
         self.ceiling = ceiling
         self.limit = 0.0
         self.in_flight = 0
@@ -168,7 +170,11 @@
         # Few copies, each of which carries much, are spared: the fewer, the nearer to a sole controller.
         alone = max(1.0, servers / instances)
         self.pass_limit = min(float(members * MIN_LIMIT), LEAST_MOST * self.floor * alone)
-        self.limit = max(self.limit, 2 * self.pass_limit if self.passes == 0 else self.floor)
+        # Failure prevented: one of few copies starts into full traffic and refuses a third of it for five
+        # seconds, while the limit doubles from window to window. It may begin near what such a copy carries.
+        self.start_limit = self.pass_limit * min(START_MOST, 2 * alone - 1)
+        start = max(2 * self.pass_limit, self.start_limit)
+        self.limit = max(self.limit, start if self.passes == 0 else self.floor)
 
     def headroom(self) -> float:
         """The square root of the limit, and no more than a part of it."""
@@ -180,7 +186,9 @@
         Failure prevented: a pass closes a copy that carries far more than its part. It is held to what it
         usually carries while latency is good.
         """
-        return min(self.limit, max(self.pass_limit, self.usual)) if self.in_pass else self.limit
+        if not self.in_pass:
+            return self.limit
+        return min(self.limit, max(self.pass_limit if self.passes else self.start_limit, self.usual))
 
     def count(self, now: int, calls: int, limit: float, mean_rtt: float) -> None:
         """Calls in flight change: books the room left until now as credit, up to MIN_LIMIT calls."""
@@ -207,6 +215,7 @@
         self.pass_count = PASS_CALLS
         self.pass_until = now + WINDOW * WINDOW_STRETCH
         self.at_min = 0
+        self.flight_sum = self.latency_sum = 0
 
     def end_pass(self, now: int) -> None:
         for klass, samples in enumerate(self.pass_samples):
@@ -215,6 +224,9 @@
                 # Failure prevented: a min_rtt measured under load lets queues grow past the aim.
                 most = AIM_MOST / AIM_SHARE * self.allowance[klass]
                 self.target[klass] = min(max(self.min_rtt[klass] * (1 + BUFFER), self.allowance[klass]), most)
+        taken = PASS_CALLS - self.pass_count
+        if self.passes == 0 and taken and all(m <= t for m, t in zip(self.min_rtt, self.target, strict=True)):
+            self.usual = self.flight_sum / taken  # what the first pass carried, in good time
         self.in_pass = False
         self.passes += 1
         self.next_pass = now + int(PASS_INTERVAL * (1 + PASS_JITTER * self.rng.random()))
@@ -227,6 +239,7 @@
         if self.in_pass:
             self.pass_samples[klass].append(latency)
             self.pass_count -= 1
+            self.flight_sum += self.in_flight
             # Failure prevented: a pass that ends at its last answer has seen only the short calls.
             if now >= self.pass_until + (0 if self.pass_count <= 0 else 2 * WINDOW * WINDOW_STRETCH):
                 self.end_pass(now)
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -108,6 +108,15 @@
         self.server, self.address = await listen(self.serve)
         return self
 
+    def answer_all(self) -> None:
+        """Answers what has arrived and what will."""
+
+        async def answer() -> None:
+            while True:
+                (await self.arrived.get()).answer()
+
+        self.answering = asyncio.create_task(answer())
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         link = self.links
         self.links += 1
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -280,6 +280,20 @@
     with_node(test)
 
 
+def test_a_node_that_starts_into_full_traffic_takes_it():
+    """It refused the lesser class beyond a few calls a server for the first seconds after every start."""
+
+    async def test(w: World) -> None:
+        clients = [await w.client() for _ in range(24)]
+        for i, client in enumerate(clients):
+            client.send(X_Request_ID=f"r{i}")
+        for origin in w.origins:
+            origin.answer_all()
+        assert {(await client.answer())[0] for client in clients} == {200}
+
+    with_node(test, servers=4)
+
+
 # ---- one final answer ---------------------------------------------------------------------------------
 
 
