A further attempt avoids the server of the one before, or goes back to it where its cell has no other

Ruled out: overload (limits and latency as before), errors of the servers themselves (under 13 a node). At fault in decide.py: (1) draw sent each further attempt to the one server of this zone again, since spill was 0 and a rejection counted nowhere, so it also won the draws; (2) rejections took the retry budget, though nothing had run; (3) draw_in_group left out the first server, so a cell with one member had nowhere to repeat a keyed request. The source recommends the previous_hosts predicate.

--- a/harecross/decide.py
+++ b/harecross/decide.py
@@ -482,6 +482,7 @@
         "begun",
         "held",
         "sent_at",
+        "last",
     )
 
     def __init__(self, request: int, klass: int, effect: Effect, useful_until: int) -> None:
@@ -492,6 +493,7 @@
         self.attempts = 0
         self.out: Server | None = None
         self.ran_on: Server | None = None  # the first server that may have run it
+        self.last: Server | None = None  # where the attempt before this one went
         self.ran_at = 0
         self.begun = False
         self.held = False
@@ -749,18 +751,21 @@
         if outcome not in NEVER_RAN and r.ran_on is None:
             r.ran_on = srv
             r.ran_at = r.sent_at
+        r.last = srv
         ran = r.ran_on is not None
+        # An attempt that never ran cost its server nothing: a further one is not counted as a retry.
+        price = int(outcome not in NEVER_RAN)
         allowed = (
             not ran or r.effect == Effect.SAFE or (r.effect == Effect.KEYED and now < r.ran_at + c.window)
         )
         if (
             allowed
             and r.attempts < s.max_attempts
-            and self.retry_tokens >= 1
+            and self.retry_tokens >= price
             and now + self.mean_rtt[r.klass] < r.useful_until
         ):
             # Retries multiply through tiers and clients: each copy spends a share of its first attempts.
-            self.retry_tokens -= 1
+            self.retry_tokens -= price
             self.attempt(now, r)
             return
         self.finish(r, refuse=not ran or r.effect == Effect.SAFE)
@@ -837,7 +842,8 @@
         srv.calls += 1
         self.gap += SMOOTH_KIND * (min(now - self.ended_at, FADE) - self.gap)
         self.ended_at = now
-        bad = 0.0 if ok or outcome in (Outcome.TIMEOUT, Outcome.REJECTED) else 1.0
+        # Failure prevented: a member that turns every call away holds none of them and wins the draws.
+        bad = 0.0 if ok or outcome == Outcome.TIMEOUT else 1.0
         srv.fail_rate += max(SMOOTH, 1 / (srv.calls + FAIL_PRIOR)) * (bad - srv.fail_rate)
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
         if not srv.ejected and outcome != Outcome.REJECTED:
@@ -1058,11 +1064,16 @@
                     i = int(self.rng.random() * len(pool))
                     if pool and self.may_send(now, pool[i]):
                         return pool[i]
-        if self.zoned and self.near and self.rng.random() >= self.spill:
-            srv = self.draw_two(now, self.near)
+        near, able = self.near, self.able
+        if r.last is not None:
+            # The source's previous_hosts predicate. Failure prevented: the one server of this zone turns
+            # calls away, and every further attempt goes there again.
+            near, able = [m for m in near if m is not r.last], [m for m in able if m is not r.last]
+        if self.zoned and near and self.rng.random() >= self.spill:
+            srv = self.draw_two(now, near)
             if srv is not None:
                 return srv
-        return self.draw_two(now, self.able)
+        return self.draw_two(now, able) or (self.draw_two(now, self.able) if r.last is not None else None)
 
     def draw_two(self, now: int, pool: list[Server]) -> Server | None:
         n = len(pool)
@@ -1106,16 +1117,17 @@
         pool = [
             m
             for m in self.able
-            if m is not first
-            and (
-                group == Group.ALL
-                or group == Group.ZONE
-                and m.zone == first.zone
-                or group == Group.CELL
-                and m.cell == first.cell
-            )
+            if group == Group.ALL
+            or group == Group.ZONE
+            and m.zone == first.zone
+            or group == Group.CELL
+            and m.cell == first.cell
         ]
-        return self.draw_two(now, pool)
+        # Failure prevented: a cell with one server left has nowhere to send a repeat. The server that may
+        # have run it drops its repeats as well as the others do, and an answer lost on the way says little
+        # against it.
+        others = [m for m in pool if m is not first and m is not r.last]
+        return self.draw_two(now, others or [m for m in pool if m.ready_at <= r.ran_at])
 
     def is_silent(self, now: int, srv: Server) -> bool:
         """Ejects a member that holds several calls and has answered none for several mean round-trips."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -189,6 +189,34 @@
     with_node(test)
 
 
+def test_being_turned_away_unseen_is_not_paid_for_with_retries():
+    """Each such answer took a retry from the budget, and after a few of them requests were refused."""
+
+    async def test(w: World) -> None:
+        client = await w.client()
+        for _ in range(6):
+            client.send("/pay/1")
+            for _ in range(2):
+                (await w.origins[0].arrived.get()).answer(503, extra=b"X-Not-Processed: 1\r\n")
+            (await w.origins[0].arrived.get()).answer(body=b"done")
+            assert (await client.answer())[2] == b"done"
+
+    with_node(test)
+
+
+def test_a_keyed_request_whose_answer_is_lost_is_sent_again_to_its_cell():
+    async def test(w: World) -> None:
+        client = await w.client()
+        client.send("/put/1", key="k")
+        (await w.origins[0].arrived.get()).writer.write(b"\x00 noise\r\n\r\n")
+        again = await w.origins[0].arrived.get()
+        assert again.header(b"Idempotency-Key") == b"k"
+        again.answer(body=b"once")
+        assert (await client.answer())[2] == b"once"
+
+    with_node(test)
+
+
 def test_a_plain_503_may_have_run():
     async def test(w: World) -> None:
         client = await w.client()
