Failures count as overload while calls are late too; a start at twice a pass's limit; README and design page

Overload shows in latency too: failures now count from a share of 0.05 while a tenth of the calls is late, from 0.3 otherwise.

--- a/harecross/decide.py
+++ b/harecross/decide.py
@@ -58,6 +58,8 @@
 EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
 EJECT_TIME = 2_000_000  # first ejection; doubles up to 16 times
 
+LOST_LATE = 0.05  # the same while calls are late as well...
+LATE_MOST = 0.1  # ...so many of them
 LOST_MOST = 0.3  # when more of the whole subset's calls fail, failures count as overload
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 FAIL_WEIGHT = 8  # a member that fails all its calls counts as so many times slower
@@ -73,7 +75,7 @@
 BURST = 4  # calls in flight that a copy held to less on average may have at one instant
 LEAST_MOST = 3  # floors a copy may always reach: nine calls a server, all copies together
 SOLE_MOST = 2  # floors it may reach outside passes even where a pass's limit on few members is less
-START_MOST = 3.0  # times a pass's limit that few copies start with: each carries much and knows nothing yet
+START_MOST = 2.0  # times a pass's limit that few copies start with: each carries much and knows nothing yet
 SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
 SPILL_STEP = 0.04  # and by so much at most
 SHARE_DEPTH = 3.0  # calls a tenant may save up, or one second of its quota: arrivals cluster in thin shares
@@ -112,6 +114,7 @@
         "flight_sum",
         "usual",
         "lost",
+        "late",
         "samples",
         "sample_rtt",
         "gradient",
@@ -149,6 +152,7 @@
         self.latency_sum = 0
         self.ramping = True  # since the start the limit bound, and no window was above target
         self.lost = 0.0  # share of calls that ended without an answer, smoothed
+        self.late = 0.0  # share of answers and time-outs that came later than the target, smoothed
         self.usual = 0.0  # calls in flight while latency was good, smoothed
         self.samples: list[float] = []
         self.window_start = now
@@ -250,6 +254,14 @@
         self.latency_sum += latency
         self.roll(now)
 
+    def losing(self) -> bool:
+        """Whether failures are a sign of overload.
+
+        Failure prevented: peers that spoil one answer in ten are taken for overloaded ones, and the limit is
+        halved window by window. Overload shows in latency too, or fails most calls.
+        """
+        return self.lost > (LOST_LATE if self.late > LATE_MOST else LOST_MOST)
+
     def failure(self, now: int, klass: int) -> None:
         """A failed call while the whole subset fails: overload in a window, no measure of min_rtt."""
         if not self.in_pass:
@@ -289,8 +301,8 @@
         self.flight_sum = self.latency_sum = 0
         if self.sample_rtt <= 1 and (carried > self.usual or carried < 0.8 * self.limit):
             self.usual += min(1.0, age / max(span, 1)) * (carried - self.usual)
-        kept = (1 - self.lost) ** 2 if self.lost > LOST_MOST else 1.0
-        if self.sample_rtt > 1 and self.lost > LOST_MOST:
+        kept = (1 - self.lost) ** 2 if self.losing() else 1.0
+        if self.sample_rtt > 1 and self.losing():
             # Failure prevented: servers that slow down when crowded stay crowded, and slow, at what they
             # carried before. Where calls are not only late but lost, less in flight gives them rest.
             self.usual -= min(1.0, age / USUAL_FADE) * self.usual
@@ -833,6 +845,7 @@
         if r is not None and (ok or outcome == Outcome.TIMEOUT):
             klass = r.klass
             if srv.slowness < OUTLIER and not srv.ejected:
+                ctl.late += SMOOTH_ALL * ((latency > ctl.target[klass]) - ctl.late)
                 ctl.sample(now, klass, latency)
             self.learn_speed(srv, min(latency / self.mean_rtt[klass], SLOWEST))
             if srv.zone == self.settings.zone:
@@ -849,7 +862,7 @@
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
         if not srv.ejected and outcome != Outcome.REJECTED:
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
-            if bad and r is not None and ctl.lost > LOST_MOST:
+            if bad and r is not None and ctl.losing():
                 # Failure prevented: the tiers below have lost servers, most calls sink work and come back as
                 # errors, and errors that add no sample leave the limit where it was.
                 ctl.failure(now, r.klass)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -212,6 +212,16 @@
     assert not c.ramping and c.usual == pytest.approx(10.0)
 
 
+def test_failures_are_overload_where_calls_are_late_too_or_most_are_lost():
+    """Peers that spoil one answer in ten are not overloaded; tiers below that jam are late as well."""
+    losing = {
+        (lost, late): after_pass(lost=lost, late=late).losing()
+        for lost in (0.02, 0.1, 0.4)
+        for late in (0.0, 0.5)
+    }
+    assert [k for k, v in losing.items() if v] == [(0.1, 0.5), (0.4, 0.0), (0.4, 0.5)]
+
+
 @pytest.mark.parametrize(("lost", "usual"), [(0.0, 40.0), (0.2, 40.0), (0.5, 40 * (1 - 1 / 120))])
 def test_usual_is_given_up_only_while_calls_are_lost(lost, usual):
     """Servers that slow down when crowded need rest; if calls are only late, a lower limit helps nobody."""
