Resets and overtaken time-outs are no overload; a near server is crowded by what the gradient lets through

Now 1.2 parts of limit x gradient: in good times the zone keeps its calls, in bad ones it lets go sooner.

--- a/harecross/decide.py
+++ b/harecross/decide.py
@@ -85,7 +85,7 @@
 SHARE_WORTH = 0.5  # calls beyond a share are refused at once where they are worth less than this part
 SHARE_TIME = 5e6  # over so long a tenant's own rate is measured
 ZONE_PRICE = 0.01  # calls keep to their zone only where a crossing costs this share of a request's worth
-CROWDED = 2.0  # a member of this zone that holds so many even parts of the limit is drawn as others are
+CROWDED = 1.2  # even parts of limit x gradient: a member of this zone that holds more is drawn as others are
 CROSSING = 10  # a call twice as slow is taken to lose a tenth of its worth, set against a crossing's price
 
 KINDS_MOST = 64  # kinds of machine remembered while no server of theirs is listed
@@ -882,7 +882,8 @@
         bad = 0.0 if ok or outcome == Outcome.TIMEOUT else 1.0
         srv.fail_rate += max(SMOOTH, 1 / (srv.calls + FAIL_PRIOR)) * (bad - srv.fail_rate)
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
-        if not srv.ejected and outcome != Outcome.REJECTED:
+        # A reset or an overtaken time-out is a connection's end, and no sign that the server is overloaded.
+        if not (srv.ejected or overtaken or outcome in (Outcome.REJECTED, Outcome.RESET)):
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
             if bad and r is not None and ctl.losing():
                 # Failure prevented: the tiers below have lost servers, most calls sink work and come back as
@@ -1107,7 +1108,7 @@
                     i = int(self.rng.random() * len(pool))
                     if pool and self.may_send(now, pool[i]):
                         return pool[i]
-        near, able = self.near, self.able
+        near, able, ctl = self.near, self.able, self.controller
         if r.last is not None:
             # The source's previous_hosts predicate. Failure prevented: the one server of this zone turns
             # calls away, and every further attempt goes there again.
@@ -1115,7 +1116,7 @@
         if self.zoned and near and self.rng.random() >= self.spill:
             # Failure prevented: the one server beside a node keeps most of its calls while it slows down, and
             # the spill follows only once the late answers are back. It could hurt where a crossing is dear.
-            crowded = CROWDED * self.controller.allowed() / len(self.able)
+            crowded = CROWDED * ctl.gradient * ctl.allowed() / len(self.able)
             srv = self.draw_two(now, [m for m in near if m.in_flight < crowded])
             if srv is not None:
                 return srv
