A zone is silent when it has not answered for a whole aim

Cause: watch_zone judged a zone silent after 4 mean round-trips without an answer, but only when a time-out ended, so after some 1 s; the per-try timeout ends a slow call after 150 ms. Now the aim is waited for, as was the effect before.

--- a/harecross/decide.py
+++ b/harecross/decide.py
@@ -758,13 +758,8 @@
         that is late and not lost is run twice. So it keeps to the retry budget and withdraws then.
         """
         s = self.settings
-        if (
-            s.cancel
-            and self.retry_tokens >= 1
-            and r.attempts < s.max_attempts
-            and not r.begun
-            and self.controller.late <= LATE_ALL
-        ):
+        paid = s.cancel and r.attempts < s.max_attempts and self.retry_tokens >= 1
+        if paid and not r.begun and self.controller.late <= LATE_ALL:
             self.retry_tokens -= 1
             self.cuts += 1
             r.cut = True
@@ -983,7 +978,9 @@
         if srv.id != zone.last_bad:
             zone.unanswered += 1
             zone.last_bad = srv.id
-        silent = zone.sent >= EJECT_FAILS and now - zone.sent_since > SILENT_FACTOR * max(self.mean_rtt)
+        # Failure prevented: the first slow call to a zone seldom visited, cut off early, cuts off the zone.
+        waited = now - zone.sent_since > min(c.aim for c in self.settings.classes)
+        silent = zone.sent >= EJECT_FAILS and waited
         if zone.cut or not (silent or zone.unanswered >= EJECT_FAILS):
             return
         if any(self.zones[m.zone].unanswered == 0 for m in self.able):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -575,6 +575,28 @@
     with_node(test, servers=2)
 
 
+def test_calls_cut_off_early_do_not_cut_off_a_zone():
+    """The first slow call to a zone, cut off before the others' answers were due, took out its servers."""
+
+    async def test(w: World) -> None:
+        first = await w.client()
+        await learn(w, first)
+        w.node.host.balancer.mean_rtt[1:] = [1000.0, 1000.0]  # the other classes are as quick
+        held = 0
+        while held < 3:
+            client = await w.client()
+            client.send()
+            number, at = await arrivals(w)
+            held += number
+            if number == 0:
+                at.answer()
+        again, _ = await arrivals(w)  # the first of the three, after its per-try timeout
+        stats = w.node.host.balancer.stats()
+        assert again == 0 and stats["rq_per_try_timeout"] == 1 and stats["zones_cut"] == 0
+
+    with_node(test, servers=2, zones="ht")
+
+
 def test_lost_calls_are_not_overload(monkeypatch):
     """A few calls in a hundred, lost on servers in good health, counted as late and halved the limit."""
     seen: list[int] = []
