--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -28,6 +28,7 @@
     with_node,
 )
 
+from harecross import decide
 from harecross.decide import Balancer, GradientController
 from harecross.interface import ListKind, Outcome, State
 from harecross.node import callers
@@ -575,6 +576,65 @@
     with_node(test, servers=2)
 
 
+def usual(node: Balancer, mean: float, deviation: float, late: float) -> None:
+    """What the module knows of round-trips, and how many calls are late."""
+    node.mean_rtt[:] = [mean] * 3
+    node.deviation[:] = [deviation] * 3
+    node.controller.late = late
+
+
+def test_a_slow_call_is_not_cut_off_while_others_are_slow(monkeypatch):
+    """Calls that were slow with all the others ran twice, at servers that had nothing to spare."""
+    past = asyncio.Event()
+    asked = Balancer.per_try_timeout
+
+    def ask(node: Balancer, now: int, r) -> None:
+        asked(node, now, r)
+        if now - r.sent_at > 600_000:
+            past.set()
+
+    monkeypatch.setattr(Balancer, "per_try_timeout", ask)
+
+    async def test(w: World) -> None:
+        client = await w.client()
+        usual(w.node.host.balancer, 40_000, 20_000, late=0.2)
+        client.send()
+        _, at = await arrivals(w)
+        await past.wait()  # three times as long as the longest that a call may be out when few are late
+        assert not at.gone.is_set()
+        at.answer()
+        assert (await client.answer())[0] == 200
+        assert w.node.host.balancer.stats()["rq_per_try_timeout"] == 0
+        assert all(o.arrived.empty() for o in w.origins)
+
+    with_node(test, servers=2)
+
+
+def test_a_call_is_lost_once_a_later_one_is_answered(monkeypatch):
+    """The server's own word cuts it off, long before the time at which silence alone would."""
+    monkeypatch.setattr(decide, "TRY_MOST", 10**6)
+
+    async def test(w: World) -> None:
+        clients = [await w.client() for _ in "ab"]
+        usual(w.node.host.balancer, 40_000, 20_000, late=0.0)
+        clients[0].send()
+        _, lost = await arrivals(w)
+        sent = w.node.host.loop.time()
+        while True:
+            clients[1].send()
+            _, at = await arrivals(w)
+            at.answer()
+            if at.header(b"X-Request-ID") == lost.header(b"X-Request-ID"):
+                break
+            assert (await clients[1].answer())[0] == 200
+        assert (await clients[0].answer())[0] == 200
+        await lost.gone.wait()
+        assert w.node.host.loop.time() - sent < 20  # its own time would be up after 25 s
+        assert w.node.host.balancer.stats()["rq_per_try_timeout"] == 1
+
+    with_node(test)
+
+
 def test_calls_cut_off_early_do_not_cut_off_a_zone():
     """The first slow call to a zone, cut off before the others' answers were due, took out its servers."""
 
