--- a/harecross/decide.py
+++ b/harecross/decide.py
@@ -53,7 +53,8 @@
 SMOOTH_KIND = 0.05  # the same for the averages of a kind of machine, once it has answered a few calls
 FASTEST, SLOWEST = 0.25, 8.0  # one round-trip counts between these multiples of the mean
 SMOOTH_ALL = 0.02  # the same for averages over the whole subset
-TRY_DEVIATIONS = 4  # a per-try timeout is the mean round-trip and so many mean deviations (RFC 6298)
+TRY_DEVIATIONS = 4  # from the mean round-trip and so many mean deviations on (RFC 6298) a call may be lost...
+TRY_MOST = 8  # ...and from so many on it is taken for lost without its server's word
 LATE_ALL = 0.3  # per-try timeouts withdraw while so many calls are late: slow is not lost
 SILENT_FACTOR = 4  # a member is silent after this many mean round-trips without any outcome
 EJECT_SHARE = 0.34  # of the members, at most
@@ -744,26 +745,42 @@
         r.sent_at = now
         r.attempts += 1
         self.actions.send(r.id, srv.id, timeout)
-        mean, deviation = self.mean_rtt[r.klass], self.deviation[r.klass]
-        wait = min(mean + TRY_DEVIATIONS * deviation, timeout - mean - deviation)
-        if r.effect != Effect.UNSAFE and wait >= mean + TRY_DEVIATIONS * deviation / 2:
-            token = r.id << TRY_BITS | r.attempts
-            self.actions.set_timer(int(wait), TIMER_TRY << TOKEN_BITS | token)
+        if r.effect != Effect.UNSAFE:
+            mean, deviation = self.mean_rtt[r.klass], self.deviation[r.klass]
+            wait = mean + TRY_DEVIATIONS * deviation
+            if wait + mean + deviation <= timeout:
+                self.watch_try(r, wait)
+
+    def watch_try(self, r: Request, wait: float) -> None:
+        token = r.id << TRY_BITS | r.attempts
+        self.actions.set_timer(max(1, int(wait)), TIMER_TRY << TOKEN_BITS | token)
 
     def per_try_timeout(self, now: int, r: Request) -> None:
-        """Gives up an attempt that is out far longer than usual, where a further one is allowed and paid for.
+        """Gives up an attempt that is lost, where a further one is allowed and paid for.
+
+        Lost and slow are told apart by the server's other calls: one sent a whole mean round-trip later has
+        been answered, or nothing has come from it since. With neither, its neighbours are slow as well.
 
         Failure prevented: a connection that has fallen silent, a cut-off machine or an answer that stops half
         way costs a request its whole time, in every tier above too. It could hurt where all is slow: a call
         that is late and not lost is run twice. So it keeps to the retry budget and withdraws then.
         """
-        s = self.settings
-        paid = s.cancel and r.attempts < s.max_attempts and self.retry_tokens >= 1
-        if paid and not r.begun and self.controller.late <= LATE_ALL:
+        s, srv = self.settings, r.out
+        assert srv is not None
+        if not s.cancel or r.begun or r.attempts >= s.max_attempts:
+            return
+        mean, deviation = self.mean_rtt[r.klass], self.deviation[r.klass]
+        late = self.controller.late
+        lost = srv.heard > r.sent_at + mean
+        if now - r.sent_at >= mean + TRY_MOST * deviation:
+            lost = lost or late <= LATE_MOST
+        if lost and late <= LATE_ALL and self.retry_tokens >= 1:
             self.retry_tokens -= 1
             self.cuts += 1
             r.cut = True
             self.actions.cancel(r.id, r.attempts - 1)
+        elif now + deviation + mean < r.useful_until:
+            self.watch_try(r, deviation)
 
     def after_failure(self, now: int, r: Request, srv: Server | None, outcome: Outcome) -> None:
         """A further attempt where class, time, budget and attempt cap allow it; a final answer otherwise."""
