--- a/harecross/decide.py
+++ b/harecross/decide.py
@@ -771,7 +771,7 @@
             return
         mean, deviation = self.mean_rtt[r.klass], self.deviation[r.klass]
         late = self.controller.late
-        lost = srv.heard > r.sent_at + mean
+        lost = srv.heard > r.sent_at + mean and late <= LATE_MOST
         if now - r.sent_at >= mean + TRY_MOST * deviation:
             lost = lost or late <= LATE_MOST
         if lost and late <= LATE_ALL and self.retry_tokens >= 1:
