--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from typing import Any
 
 import uvloop
 
@@ -43,7 +44,9 @@
 class Node:
     """The running program."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, report_every: float = REPORT_EVERY, backlog: int = BACKLOG) -> None:
+        self.report_every = report_every
+        self.backlog = backlog
         self.loop = asyncio.get_running_loop()
         self.config = config
         settings = config.settings
@@ -81,7 +84,7 @@
             sock.bind(self.config.listen)
         except OSError as e:
             raise BadConfig("listen {}:{}: {}".format(*self.config.listen, e.strerror)) from None
-        self.callers.listen(sock, BACKLOG)
+        self.callers.listen(sock, self.backlog)
         self.every(SWEEP_EVERY, self.sweep)
         gc.collect()
         gc.freeze()
@@ -151,7 +154,7 @@
         self.servers.sweep()
         self.callers.sweep()
         now = self.loop.time()
-        if now >= self.reported + REPORT_EVERY:
+        if now >= self.reported + self.report_every:
             self.reported = now
             self.host.report(self.callers.bad, self.callers.turned_away)
             if self.lag > LAG_SHOWN:
@@ -159,13 +162,27 @@
             self.lag = 0.0
 
 
-async def run(config: Config) -> None:
-    await Node(config).run()
+def from_operators() -> dict[str, Any]:
+    """What the operators' file says, if HARECROSS_CONFIG names one. Only then is its reader imported."""
+    path = os.environ.get("HARECROSS_CONFIG")
+    if not path:
+        return {}
+    from harecross.operators import BadFile, Operators, read_toml
+
+    try:
+        told = read_toml(path, Operators)
+    except BadFile as e:
+        raise BadConfig(str(e)) from None
+    return {"report_every": told.log.report_every_s, "backlog": told.listen.backlog}
+
+
+async def run(config: Config, **more: Any) -> None:
+    await Node(config, **more).run()
 
 
 def main() -> int:
     try:
-        uvloop.run(run(read_config()))
+        uvloop.run(run(read_config(), **from_operators()))
     except BadConfig as e:
         say(str(e))
         return 2
--- /dev/null
+++ b/harecross/operators.py
@@ -0,0 +1,63 @@
+"""The operators' file (TOML): strict reading, one clear line for what cannot be.
+
+Imported only where such a file is named: the node's own start needs neither this nor msgspec.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import msgspec
+
+T = TypeVar("T")
+
+
+class BadFile(Exception):
+    """A file that cannot be used; the text names the file, the key and what is allowed."""
+
+
+class Log(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[log]`."""
+
+    report_every_s: Annotated[float, msgspec.Meta(ge=0.1, le=3600)] = 10.0
+
+
+class Listen(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[listen]`."""
+
+    backlog: Annotated[int, msgspec.Meta(ge=1, le=65535)] = 1024
+
+
+class Operators(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The whole file. Every key is optional."""
+
+    log: Log = Log()
+    listen: Listen = Listen()
+
+
+def read_toml(path: str | Path, kind: type[T]) -> T:
+    """The file as a `kind`. BadFile for one that is missing, not TOML, or holds what cannot be."""
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as e:
+        raise BadFile(f"{path}: {e.strerror}") from None
+    except UnicodeDecodeError as e:
+        raise BadFile(f"{path}: not UTF-8 at byte {e.start}") from None
+    except tomllib.TOMLDecodeError as e:
+        raise BadFile(f"{path}: not TOML: {e}") from None
+    try:
+        return msgspec.convert(raw, kind)
+    except msgspec.ValidationError as e:
+        raise BadFile(f"{path}: {e}{allowed(raw, kind)}") from None
+
+
+def allowed(raw: object, kind: object) -> str:
+    """For a key that does not exist: the keys that do."""
+    if not (isinstance(raw, dict) and isinstance(kind, type) and issubclass(kind, msgspec.Struct)):
+        return ""
+    fields = {f.encode_name: f.type for f in msgspec.structs.fields(kind)}
+    if any(key not in fields for key in raw):
+        return f" (allowed: {', '.join(sorted(fields))})"
+    return next((text for key, value in raw.items() if (text := allowed(value, fields[key]))), "")
