--- /dev/null
+++ b/benchmarks/replay_rate.py
@@ -0,0 +1,61 @@
+"""How late the load generator is at a rate, and the highest rate at which a replay stays valid.
+
+    python benchmarks/replay_rate.py [--rate 1000] [--seconds 60] [--search]
+
+The nodes, the servers and the generator share this machine's cores, as they do in a replay.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+import uvloop
+
+from harecross.replay.account import Klass
+from harecross.replay.callers import Arrival
+from harecross.replay.run import execute, report
+
+CLASSES = [Klass("read", "safe", 1, 1_000_000, 2_500_000)]
+WORK = 5_000
+
+
+def arrivals(rate: float, seconds: float) -> Iterator[Arrival]:
+    rng, at = Random(1), 0.0
+    while (at := at + rng.expovariate(rate)) < seconds:
+        yield Arrival(int(at * 1e6), 0, WORK)
+
+
+def play(rate: float, seconds: float, nodes: int) -> dict[str, Any]:
+    servers = [f"s{i}" for i in range(max(4, int(rate * WORK / 1e6 / 8 / 0.5) + 1))]
+    return report(uvloop.run(execute(arrivals(rate, seconds), CLASSES, servers, nodes, [])))
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rate", type=float, default=1000)
+    parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument(
+        "--search", action="store_true", help="go on by half as much again until it is not valid"
+    )
+    args = parser.parse_args()
+    print(f"{os.cpu_count()} cores, {args.nodes} nodes")
+    rate = args.rate
+    while True:
+        told = play(rate, args.seconds, args.nodes)
+        print(
+            f"{rate:,.0f} a second for {args.seconds:g} s: lateness p99 {told['lateness_ms']['p99']} ms, p99.9 "
+            f"{told['lateness_ms']['p999']} ms, service {told['service']}, {'valid' if told['valid'] else 'NOT valid'}",
+            flush=True,
+        )
+        if not args.search or not told["valid"]:
+            return
+        rate *= 1.5
+
+
+if __name__ == "__main__":
+    main()
--- a/harecross/traces/summary.py
+++ b/harecross/traces/summary.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -83,11 +84,17 @@
 
     def requests(self) -> Iterator[pl.DataFrame]:
         """Frames of requests; after each, `planner.durations` holds what the block told of work by key."""
-        for f, part, frame in self.reader.frames():
-            if self.planner is None:
-                self.classes = classes_for(f.name, self.mapping)
-                self.planner = Planner(self.classes, self.seed, self.mapping)
-            yield from self.planner.feed(f, part, frame)
+        frames = self.reader.frames()
+        # The next block is put in order while this one is planned.
+        with ThreadPoolExecutor(1) as ahead:
+            coming = ahead.submit(next, frames, None)
+            while (found := coming.result()) is not None:
+                coming = ahead.submit(next, frames, None)
+                f, part, frame = found
+                if self.planner is None:
+                    self.classes = classes_for(f.name, self.mapping)
+                    self.planner = Planner(self.classes, self.seed, self.mapping)
+                yield from self.planner.feed(f, part, frame)
 
 
 def inspect(trace: Trace) -> dict[str, Any]:
