--- a/benchmarks/replay_rate.py
+++ b/benchmarks/replay_rate.py
@@ -31,7 +31,7 @@
 
 def play(rate: float, seconds: float, nodes: int) -> dict[str, Any]:
     servers = [f"s{i}" for i in range(max(4, int(rate * WORK / 1e6 / 8 / 0.5) + 1))]
-    return report(uvloop.run(execute(arrivals(rate, seconds), CLASSES, servers, nodes, [])))
+    return report(uvloop.run(execute(arrivals(rate, seconds), CLASSES, [servers], nodes, [])))
 
 
 def main() -> None:
--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -68,7 +68,7 @@
 
             run = uvloop.run(
                 execute(
-                    scene.arrivals(seed), scene.CLASSES, scene.SERVERS, scene.NODES, scene.EVENTS,
+                    scene.arrivals(seed), scene.CLASSES, [scene.SERVERS], scene.NODES, scene.EVENTS,
                     seed=seed, watch=watch,
                 )
             )  # fmt: skip
@@ -227,14 +227,16 @@
     quiet = json_to == "-"
     show = err if quiet else out
     show.print(
-        f"{plan.format}: {len(plan.due):,} requests over {plan.due[-1] / 1e6:.1f} s, {nodes} nodes, "
-        f"{len(plan.servers)} servers, {plan.left_out:,} requests left out, work x{plan.scale:.3g}"
+        f"{plan.format}: {len(plan.due):,} requests over {plan.due[-1] / 1e6:.1f} s, {nodes} nodes a tier, "
+        f"{' + '.join(str(len(p)) for p in plan.servers)} servers, {plan.left_out:,} requests left out, "
+        f"work x{plan.scale:.3g}"
     )
     if plan.machines_left_out:
         show.print(
             f"{plan.machines_left_out} machines of the trace are left out (--servers sets how many are played)"
         )
-    arrivals = (Arrival(d, k, w) for d, k, w in zip(plan.due, plan.klass, plan.work, strict=True))
+    rows = zip(plan.due, plan.klass, plan.work, plan.tier, strict=True)
+    arrivals = (Arrival(d, k, w, t) for d, k, w, t in rows)
     try:
         with Live(console=show, refresh_per_second=4, transient=True) as live:
 
--- a/harecross/replay/callers.py
+++ b/harecross/replay/callers.py
@@ -30,6 +30,7 @@
     due: int
     klass: int
     work: int
+    tier: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,10 +133,10 @@
 
 
 class OpenLoop:
-    """Sends a plan to the nodes of `pools` and keeps the account."""
+    """Sends a plan to the nodes of `pools`, one list a tier, and keeps the account."""
 
     def __init__(
-        self, classes: list[Klass], pools: list[Pool], habits: Habits, seed: int, window: int
+        self, classes: list[Klass], pools: list[list[Pool]], habits: Habits, seed: int, window: int
     ) -> None:
         self.classes = classes
         self.pools = pools
@@ -152,7 +153,7 @@
         self.count = 0
         self.idle = asyncio.Event()
         self.idle.set()
-        self.turn = 0
+        self.turn = [0] * len(pools)
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, plan: AsyncIterator[Arrival]) -> None:
@@ -180,19 +181,20 @@
         ask.timer = self.loop.call_later(max(0, left) / 1e6, self.give_up, ask)
         self.go(ask)
 
-    def pick(self) -> Pool:
-        """The front's part: the next node in turn that is not known to be dead."""
+    def pick(self, tier: int) -> Pool:
+        """The front's part: the tier's next node in turn that is not known to be dead."""
         now = clock()
-        for _ in self.pools:
-            self.turn = (self.turn + 1) % len(self.pools)
-            if self.pools[self.turn].down_until <= now:
+        pools = self.pools[tier]
+        for _ in pools:
+            self.turn[tier] = (self.turn[tier] + 1) % len(pools)
+            if pools[self.turn[tier]].down_until <= now:
                 break
-        return self.pools[self.turn]
+        return pools[self.turn[tier]]
 
     def go(self, ask: Ask) -> None:
         if ask.number not in self.account.open:
             return
-        pool = self.pick()
+        pool = self.pick(ask.arrival.tier)
         # The usual way takes no task: an idle connection is at hand.
         while pool.idle:
             conn = pool.idle.pop()
--- a/harecross/replay/page.py
+++ b/harecross/replay/page.py
@@ -30,13 +30,16 @@
 
 
 def chart(
-    title: str, series: dict[str, list[tuple[float, float]]], unit: str, marks: list[tuple[float, str]]
+    title: str,
+    series: dict[str, list[tuple[float, float]]],
+    unit: str,
+    marks: list[tuple[float, str]],
+    span: float,
 ) -> str:
     """One plot over seconds; `marks` are events, drawn as dashed lines."""
     points = [p for line in series.values() for p in line]
     if not points:
         return f"<h2>{escape(title)}</h2><p>No figures.</p>"
-    span = max(p[0] for p in points) or 1.0
     scale = ticks(max(p[1] for p in points))
     top = scale[-1]
 
@@ -105,6 +108,7 @@
         + "</li>"
         for e in report["events"]
     )
+    span = max([w["from_s"] for w in windows] + [s["at_s"] for s in report["samples"]] + [1.0])
     limit = [(s["at_s"], s["limit"]) for s in report["samples"]]
     flight = [(s["at_s"], s["in_flight"]) for s in report["samples"]]
     return (
@@ -117,10 +121,10 @@
         + chart(
             "Rate", {"asked": rate("asked"), "served in time": rate("served_in_time"),
             "refused": rate("refused"), "failed": rate("failed"), "late": rate("served_late")},
-            "requests a second", marks,
+            "requests a second", marks, span,
         )
-        + chart("Latency", {p: latency(p) for p in ("p50", "p90", "p99")}, "milliseconds since due", marks)
-        + chart("Limit of all nodes", {"limit": limit, "calls in flight": flight}, "calls", marks)
+        + chart("Latency", {p: latency(p) for p in ("p50", "p90", "p99")}, "milliseconds since due", marks, span)
+        + chart("Limit of all nodes", {"limit": limit, "calls in flight": flight}, "calls", marks, span)
         + (f"<h2>What happened</h2><ul>{happened}</ul>" if happened else "")
         + "</html>\n"
     )  # fmt: skip
--- a/harecross/replay/plan.py
+++ b/harecross/replay/plan.py
@@ -12,7 +12,7 @@
 from harecross.replay.account import Klass
 from harecross.traces.causes import BadTrace, Tally
 from harecross.traces.mapping import Classes
-from harecross.traces.plan import ADD, DUE, KEY, KLASS, REMOVE, REQUESTS, WORK
+from harecross.traces.plan import ADD, DUE, KEY, KLASS, REMOVE, REQUESTS, TIER, WORK
 from harecross.traces.summary import SECOND, Trace
 
 REQUESTS_MOST = 5_000_000  # that one replay holds: choose a part with --from and --for, or --sample
@@ -65,8 +65,9 @@
     due: list[int]  # microseconds since the start, in order
     klass: list[int]
     work: list[int]
+    tier: list[int]
     classes: list[Klass]
-    servers: list[str]
+    servers: list[list[str]]  # of each tier
     events: list[Event]
     format: str
     tally: Tally
@@ -75,6 +76,11 @@
     machines_left_out: int
 
 
+def prefix(tier: int) -> str:
+    """What names of a tier's servers and nodes begin with: nothing for the first."""
+    return f"t{tier}" if tier else ""
+
+
 def klasses(classes: Classes) -> list[Klass]:
     return [
         Klass(name, c.effect, c.worth, int(c.aim_ms * 1000), int(c.deadline_ms * 1000))
@@ -116,6 +122,8 @@
     for frame in trace.requests():
         assert trace.planner is not None
         total += frame.height
+        if TIER not in frame.columns:
+            frame = frame.with_columns(pl.lit(0, dtype=pl.UInt8).alias(TIER))
         if low is not None:
             frame = frame.filter(pl.col(DUE) >= low)
         if high is not None:
@@ -144,7 +152,7 @@
     if held == 0:
         raise BadTrace(f"{trace.reader.paths[0]}: no request in the part that is to be replayed")
     assert trace.classes is not None and trace.planner is not None
-    requests = pl.concat(kept, how="vertical").select(list(REQUESTS))
+    requests = pl.concat(kept, how="vertical").select(*REQUESTS, TIER)
     if durations:
         told = pl.concat(durations).group_by(KEY).agg(pl.col(WORK).mean().alias("told"))
         requests = requests.join(told, on=KEY, how="left", maintain_order="left").with_columns(
@@ -160,13 +168,15 @@
     due = ((requests[DUE] - begin).cast(pl.Float64) / speed).cast(pl.Int64)
     last = due[-1]
     names, events, machines_out = machines(trace, begin, speed, last, servers)
-    if not names:
-        rate = requests.height * 1e6 / max(last, SECOND)
-        busy = rate * float(work.mean() or 0.0) / 1e6  # type: ignore[arg-type]
+    tiers = int(requests[TIER].max()) + 1  # type: ignore[arg-type]
+    pools = [names] if names else []
+    for tier in range(len(pools), tiers):
+        busy = float(work.filter(requests[TIER] == tier).sum()) / max(last, SECOND)
         count = servers or min(SERVERS_MOST, max(SERVERS_LEAST, math.ceil(busy / (SLOTS * LOAD))))
-        names = [f"s{i}" for i in range(count)]
+        pools.append([f"{prefix(tier)}s{i}" for i in range(count)])
     return Replay(
-        due.to_list(), requests[KLASS].to_list(), work.to_list(), klasses(trace.classes), names, events,
+        due.to_list(), requests[KLASS].to_list(), work.to_list(), requests[TIER].to_list(),
+        klasses(trace.classes), pools, events,
         trace.reader.name, trace.reader.tally, scale, total - held, machines_out,
     )  # fmt: skip
 
--- a/harecross/replay/run.py
+++ b/harecross/replay/run.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import Any
 
 from harecross.replay.account import LATENESS_BOUND, End, Klass
 from harecross.replay.callers import Arrival, Habits, OpenLoop, Pool
-from harecross.replay.plan import SLOTS, Event
+from harecross.replay.plan import SLOTS, Event, prefix
 from harecross.standins.cluster import Cluster, ClusterError
 
 SAMPLE_EVERY = 0.5  # seconds between two looks at nodes and servers
@@ -24,7 +26,7 @@
     """What a run came to."""
 
     loop: OpenLoop
-    cluster: Cluster
+    clusters: list[Cluster]  # one a tier
     seconds: float = 0.0
     samples: list[dict[str, Any]] = field(default_factory=list)
     events: list[dict[str, Any]] = field(default_factory=list)
@@ -51,7 +53,7 @@
 async def execute(
     arrivals: Iterable[Arrival],
     classes: list[Klass],
-    servers: list[str],
+    servers: list[list[str]],
     nodes: int,
     events: list[Event],
     habits: Habits | None = None,
@@ -59,11 +61,24 @@
     window_s: float = 1.0,
     watch: Callable[[Run], None] | None = None,
 ) -> Run:
-    """Starts it all, sends the plan and ends it all. ClusterError if a part does not start."""
-    async with Cluster([server(n) for n in servers], nodes, node_classes(classes), seed) as cluster:
-        pools = [Pool(n.name, lambda n=n: n.address) for n in cluster.nodes]  # type: ignore[misc]
+    """Starts it all, sends the plan and ends it all; `servers` are those of each tier, before each so many nodes.
+
+    ClusterError if a part does not start.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        names = [f"tier{t}" for t in range(len(servers))]
+        clusters = [
+            await stack.enter_async_context(
+                Cluster(
+                    [server(n) for n in pool], nodes, node_classes(classes), seed + tier, prefix(tier),
+                    layers=names, tier=tier,
+                )
+            )
+            for tier, pool in enumerate(servers)
+        ]  # fmt: skip
+        pools = [[Pool(n.name, lambda n=n: n.address) for n in c.nodes] for c in clusters]  # type: ignore[misc]
         loop = OpenLoop(classes, pools, habits or Habits(), seed, int(window_s * 1e6))
-        run = Run(loop, cluster)
+        run = Run(loop, clusters)
 
         async def plan() -> AsyncIterator[Arrival]:
             for arrival in arrivals:
@@ -86,10 +101,14 @@
             for task in (sending, *side):
                 task.cancel()
             await asyncio.gather(sending, *side, return_exceptions=True)
-            for pool in pools:
+            for pool in chain(*pools):
                 pool.close()
-        run.world = await cluster.order(do="stats")
-        run.nodes = [{"name": n.name, "alive": n.alive, **n.stats} for n in cluster.nodes]
+        told = [await c.order(do="stats") for c in clusters]
+        run.world = {
+            "servers": {name: stats for t in told for name, stats in t["servers"].items()},
+            "effects": sum(t["effects"] for t in told),
+        }
+        run.nodes = [{"name": n.name, "alive": n.alive, **n.stats} for c in clusters for n in c.nodes]
         return run
 
 
@@ -104,17 +123,21 @@
         told: dict[str, Any] = {"at_s": event.at / 1e6, "what": event.what, "name": event.name, "done": True}
         try:
             if event.what in ("kill-node", "stop-node"):
-                node = next((n for n in run.cluster.nodes if n.name == event.name), None)
-                if node is None:
+                nodes = [n for c in run.clusters for n in c.nodes if n.name == event.name]
+                if not nodes:
                     raise ClusterError(f"no node named {event.name!r}")
-                node.signal(signal.SIGKILL if event.what == "kill-node" else signal.SIGTERM)
+                nodes[0].signal(signal.SIGKILL if event.what == "kill-node" else signal.SIGTERM)
             elif event.what == "add":
-                await run.cluster.order(do="add", **server(event.name, cold=True))
-            elif event.what == "slow":
-                await run.cluster.order(do="slow", name=event.name, factor=event.factor)
-                told["factor"] = event.factor
+                await run.clusters[0].order(do="add", **server(event.name, cold=True))
             else:
-                await run.cluster.order(do=event.what, name=event.name)
+                # A server's name tells its tier; one that no tier has is told by the first.
+                at = next(
+                    (c for c in run.clusters if any(s["name"] == event.name for s in c.servers)),
+                    run.clusters[0],
+                )
+                more = {"factor": event.factor} if event.what == "slow" else {}
+                await at.order(do=event.what, name=event.name, **more)
+                told.update(more)
         except ClusterError as e:
             told.update(done=False, error=str(e))
         run.events.append(told)
@@ -127,7 +150,7 @@
         await asyncio.sleep(SAMPLE_EVERY)
         if run.loop.start == 0:
             continue
-        stats = [n.stats for n in run.cluster.nodes if n.alive]
+        stats = [n.stats for c in run.clusters for n in c.nodes if n.alive]
         run.samples.append(
             {
                 "at_s": round(run.loop.now() / 1e6, 2),
--- a/harecross/standins/cluster.py
+++ b/harecross/standins/cluster.py
@@ -152,12 +152,14 @@
         nodes: int,
         classes: list[dict[str, Any]],
         seed: int = 1,
+        prefix: str = "",
         **settings: Any,
     ) -> None:
         self.servers = servers
         self.count = nodes
         self.settings = node_settings(classes, nodes, **settings)
         self.seed = seed
+        self.prefix = prefix  # of the nodes' names
         self.nodes: list[NodeProcess] = []
         self.folder = tempfile.TemporaryDirectory(prefix="harecross-")
         self.world: asyncio.subprocess.Process | None = None
@@ -195,7 +197,7 @@
         operators.write_text("[log]\nreport_every_s = 0.5\n")
         for i in range(self.count):
             config = {
-                "name": f"n{i}",
+                "name": f"{self.prefix}n{i}",
                 "listen": "127.0.0.1:0",
                 "discovery": told["discovery"],
                 "seed": f"{self.seed * 1000 + i:x}",
@@ -203,7 +205,7 @@
                 "known": told["known"],
                 "settings": self.settings,
             }
-            self.nodes.append(NodeProcess(f"n{i}", folder, config))
+            self.nodes.append(NodeProcess(f"{self.prefix}n{i}", folder, config))
         await asyncio.gather(*(n.start(operators) for n in self.nodes))
 
     async def order(self, **order: Any) -> dict[str, Any]:
--- a/harecross/traces/plan.py
+++ b/harecross/traces/plan.py
@@ -29,6 +29,8 @@
 DAY = 1440 * MINUTE
 OPEN_MOST = 2_000_000  # tasks and calls remembered while their other record has not come
 DUE, KLASS, WORK, KEY = "due", "klass", "work", "key"
+TIER = "tier"  # of a call, in formats that tell calls between tiers
+TIERS_MOST = 3
 REQUESTS: dict[str, pl.DataType] = {
     DUE: pl.Int64(), KLASS: pl.UInt8(), WORK: pl.Float64(), KEY: pl.UInt64(),
 }  # fmt: skip
@@ -128,6 +130,8 @@
         return first.select(
             pl.col(AT).alias(DUE), self.number("rpctype").alias(KLASS),
             pl.lit(None, dtype=pl.Float64).alias(WORK), KEY,
+            # "0" is a client's call, "0.1" one that its server makes, and so on down.
+            pl.col("rpc").str.count_matches(".", literal=True).clip(0, TIERS_MOST - 1).cast(pl.UInt8).alias(TIER),
         )  # fmt: skip
 
     def minutes(self, f: Format, part: int, frame: pl.DataFrame) -> Iterator[pl.DataFrame]:
