xDS without I/O: what to publish, versions and order, both stream variants

Need: a control service is judged by reconnects in mid-update, NACKs, stale nonces and lists that lie. Not yet: the gRPC front, feeding, status, security.

--- /dev/null
+++ b/harecross/xds/publish.py
@@ -0,0 +1,126 @@
+"""From a view of servers to what proxies are told of each: health, weight. Free of I/O.
+
+Sources: Envoy's endpoint health status and panic threshold; the project's cold rule. Times are microseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import IntEnum
+from math import floor
+
+WEIGHT = 100  # of a warm server of mean cost
+WEIGHT_LEAST, WEIGHT_MOST = 10, 1000
+HYSTERESIS = 0.15  # a weight moves when it is off by more than this part
+COLD_STEPS = 4  # a cold server's weight rises in so many steps
+PANIC = 0.5  # no more than this part of the listed servers is kept from proxies by our own doubts
+SHRINK = 0.5  # a list that loses more than this part of its servers at once, with no word of a drain...
+HOLD = 30_000_000  # ...is disbelieved for so long
+
+
+class Health(IntEnum):
+    """`envoy.config.core.v3.HealthStatus`, by its numbers."""
+
+    HEALTHY = 1
+    UNHEALTHY = 2
+    DRAINING = 3
+    DEGRADED = 5
+
+
+@dataclass(frozen=True, slots=True)
+class ServerView:
+    """What is thought of one server; `warmth` is its present part of a warm server's capacity, in (0, 1]."""
+
+    name: str
+    address: str
+    zone: str = ""
+    draining: bool = False
+    ejected: bool = False
+    warmth: float = 1.0
+    cost: float = 1.0  # expected time of one more call, against the others'
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """What proxies are told of one server."""
+
+    name: str
+    address: str
+    zone: str
+    health: Health
+    weight: int
+
+
+@dataclass(slots=True)
+class Publisher:
+    """One cluster's publication, with the memory that keeps it steady."""
+
+    told: dict[str, Endpoint] = field(default_factory=dict)
+    missing: dict[str, tuple[int, ServerView]] = field(
+        default_factory=dict
+    )  # disbelieved absences, since when
+    seen: dict[str, ServerView] = field(default_factory=dict)
+
+    def believe(self, now: int, views: Sequence[ServerView]) -> list[ServerView]:
+        """The views, and those servers whose sudden absence is not believed yet.
+
+        Failure prevented: discovery lists almost nothing for a minute, and every proxy drops servers that
+        serve well. A server that was said to drain is believed to be gone.
+        """
+        present = {v.name: v for v in views}
+        lost = [
+            v for n, v in self.seen.items() if n not in present and not v.draining and n not in self.missing
+        ]
+        sound = sum(not v.draining for v in self.seen.values())
+        if sound and len(lost) > SHRINK * sound:
+            self.missing.update((v.name, (now, v)) for v in lost)
+        for name, (since, _) in list(self.missing.items()):
+            if name in present or now - since >= HOLD:
+                del self.missing[name]
+        kept = [v for _, v in self.missing.values()]
+        self.seen = {v.name: v for v in [*views, *kept]}
+        return [*views, *kept]
+
+    def decide(self, now: int, views: Sequence[ServerView]) -> list[Endpoint]:
+        """What is told of each server from now on, by name. Views name a server once."""
+        views = self.believe(now, views)
+        ready = [v for v in views if not v.draining]
+        doubted = sum(v.ejected for v in ready)
+        # Failure prevented: our own doubts empty the set, and what is left drowns in the calls of all.
+        panic = doubted > PANIC * len(ready)
+        mean = sum(v.cost for v in ready) / len(ready) if ready else 1.0
+        told = {}
+        for v in sorted(views, key=lambda v: v.name):
+            health = Health.HEALTHY
+            if v.draining:
+                health = Health.DRAINING
+            elif v.ejected:
+                health = Health.DEGRADED if panic else Health.UNHEALTHY
+            told[v.name] = Endpoint(v.name, v.address, v.zone, health, self.weight(v, mean))
+        self.told = told
+        return list(told.values())
+
+    def weight(self, v: ServerView, mean: float) -> int:
+        """By cost, with hysteresis; a cold server's rises in steps and is never more than its warmth's part."""
+        fresh = min(WEIGHT_MOST, max(WEIGHT_LEAST, round(WEIGHT * mean / max(v.cost, 1e-9))))
+        if v.warmth < 1:
+            # Rounded down: all proxies together, each by these weights, stay under the server's present part.
+            part = max(floor(v.warmth * COLD_STEPS) / COLD_STEPS, 1 / (2 * COLD_STEPS))
+            return max(1, int(min(fresh, WEIGHT) * part))
+        last = self.told.get(v.name)
+        if last is not None and abs(fresh - last.weight) <= HYSTERESIS * last.weight:
+            return last.weight
+        return fresh
+
+
+def urgent(before: Sequence[Endpoint], after: Sequence[Endpoint]) -> bool:
+    """Whether a change must go out at once: a drain, an ejection, a removal, a new address. Weights can wait."""
+    old = {e.name: e for e in before}
+    new = {e.name: e for e in after}
+    return any(
+        n not in new
+        or new[n].address != e.address
+        or (new[n].health != e.health and new[n].health != Health.HEALTHY)
+        for n, e in old.items()
+    )
--- /dev/null
+++ b/tests/test_xds_streams.py
@@ -0,0 +1,270 @@
+"""Streams against a model of a client, checked after every step, and each hard case by itself."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from harecross.xds.cache import CDS, EDS, LDS, ORDER, RDS, Resource, Snapshot, steps, version_of
+from harecross.xds.streams import BadRequest, DeltaStream, Response, SotwStream
+
+
+def snapshot(**types: dict[str, str]) -> Snapshot:
+    """Resources by type's short name, as name: content."""
+    urls = {"cds": CDS, "eds": EDS, "lds": LDS, "rds": RDS}
+    return Snapshot(
+        {urls[t]: {n: Resource.of(n, b.encode()) for n, b in rs.items()} for t, rs in types.items()}
+    )
+
+
+A1 = snapshot(cds={"a": "1"}, eds={"a": "e1"})
+A2 = snapshot(cds={"a": "1"}, eds={"a": "e2"})
+A3 = snapshot(cds={"a": "1"}, eds={"a": "e3"})
+
+
+def only(responses: list[Response]) -> Response:
+    (response,) = responses
+    return response
+
+
+# ---- state of the world -----------------------------------------------------------------------------
+
+
+def test_an_ack_is_answered_with_silence_and_a_change_is_pushed():
+    s = SotwStream(A1)
+    r = only(s.request(EDS, "", ["a"]))
+    assert [x.body for x in r.resources] == [b"e1"]
+    assert s.request(EDS, r.nonce, ["a"]) == [] and s.types[EDS].status.acked == r.version
+    assert only(s.push(A2)).resources[0].body == b"e2" and s.push(A2) == []
+
+
+def test_a_nack_is_not_sent_again_until_there_is_something_new():
+    s = SotwStream(A1)
+    first = only(s.request(EDS, "", ["a"]))
+    s.request(EDS, first.nonce, ["a"])
+    bad = only(s.push(A2))
+    assert s.request(EDS, bad.nonce, ["a"], error="no such thing") == []
+    assert s.push(A2) == []  # no loop
+    status = s.types[EDS].status
+    assert (status.acked, status.refused, status.reason) == (first.version, bad.version, "no such thing")
+    good = only(s.push(A3))
+    assert s.request(EDS, good.nonce, ["a"]) == [] and (status.acked, status.refused) == (good.version, "")
+
+
+def test_an_ack_with_a_stale_nonce_is_ignored():
+    s = SotwStream(A1)
+    first = only(s.request(EDS, "", ["a"]))
+    second = only(s.push(A2))  # two updates, the first without its ACK
+    assert s.request(EDS, first.nonce, ["a", "b"]) == [] and s.types[EDS].names == {"a"}
+    assert s.types[EDS].status.acked == ""
+    s.request(EDS, second.nonce, ["a"])
+    assert s.types[EDS].status.acked == second.version
+
+
+def test_a_subscription_changed_in_mid_update_is_answered_from_the_newest():
+    s = SotwStream(snapshot(eds={"a": "e1", "b": "f1"}))
+    s.request(EDS, "", ["a"])
+    r = only(s.push(snapshot(eds={"a": "e2", "b": "f2"})))
+    more = only(s.request(EDS, r.nonce, ["a", "b"]))
+    assert [x.body for x in more.resources] == [b"e2", b"f2"]
+
+
+def test_what_does_not_exist_is_left_out_and_comes_when_it_does():
+    s = SotwStream(A1)
+    assert s.request(EDS, "", ["nothing"]) == []
+    assert [x.name for x in only(s.push(snapshot(eds={"nothing": "x"}))).resources] == ["nothing"]
+    # A type with a wildcard is answered even where it is empty: the proxy waits for it.
+    assert only(SotwStream(snapshot()).request(CDS, "", [])).resources == []
+
+
+def test_a_nonce_of_an_earlier_stream_is_a_first_request():
+    """A proxy that reconnects in mid-update, to this service or to another one with the same content."""
+    old = SotwStream(A1)
+    before = only(old.request(EDS, "", ["a"]))
+    new = SotwStream(A1)
+    again = only(new.request(EDS, before.nonce, ["a"]))
+    assert again.version == before.version
+
+
+# ---- delta ------------------------------------------------------------------------------------------
+
+
+def test_a_proxy_that_comes_back_is_sent_only_what_differs():
+    held = {n: r.version for n, r in snapshot(eds={"a": "e1", "b": "f1", "gone": "g"}).get(EDS).items()}
+    s = DeltaStream(snapshot(eds={"a": "e1", "b": "f2"}))
+    r = only(s.request(EDS, subscribe=["a", "b", "gone"], initial=held))
+    assert [x.name for x in r.resources] == ["b"] and r.removed == ["gone"]
+
+
+def test_a_delta_nack_is_not_sent_again_until_there_is_something_new():
+    s = DeltaStream(A1)
+    r = only(s.request(EDS, subscribe=["a"]))
+    assert s.request(EDS, nonce=r.nonce, error="bad") == [] and s.push(A1) == []
+    assert only(s.push(A2)).resources[0].body == b"e2"
+
+
+def test_a_name_that_does_not_exist_is_told_as_removed():
+    assert only(DeltaStream(A1).request(EDS, subscribe=["none"])).removed == ["none"]
+
+
+def test_unsubscribing_ends_updates_and_subscribing_again_sends_anew():
+    s = DeltaStream(A1)
+    s.request(EDS, subscribe=["a"])
+    assert s.request(EDS, unsubscribe=["a"]) == [] and s.push(A2) == []
+    assert only(s.request(EDS, subscribe=["a"])).resources[0].body == b"e2"
+    assert (
+        only(s.request(EDS, subscribe=["a"])).resources[0].body == b"e2"
+    )  # asked for again while it is held
+
+
+def test_requests_that_cannot_be_served_end_the_stream():
+    for s in (SotwStream(A1), DeltaStream(A1)):
+        with pytest.raises(BadRequest, match="not served here"):
+            s.request("type.googleapis.com/none", "", [])
+        with pytest.raises(BadRequest, match="more than 10000"):
+            s.request(EDS, "", [str(i) for i in range(10_001)])
+
+
+# ---- versions and order -----------------------------------------------------------------------------
+
+
+def test_versions_are_those_of_the_content():
+    assert version_of(A1.get(EDS).values()) == version_of(snapshot(eds={"a": "e1"}).get(EDS).values())
+    assert version_of(A1.get(EDS).values()) != version_of(A2.get(EDS).values())
+    both = snapshot(eds={"a": "1", "b": "2"}).get(EDS)
+    assert version_of(both.values()) == version_of(reversed(list(both.values())))
+
+
+def test_what_is_referred_to_goes_first_and_is_removed_last():
+    before = snapshot(cds={"a": "1"}, eds={"a": "e"}, lds={"l": "1"}, rds={"r": "to a"})
+    after = snapshot(cds={"b": "1"}, eds={"b": "e"}, lds={"l": "1"}, rds={"r": "to b"})
+    s = SotwStream(before)
+    for type_url, names in ((CDS, []), (EDS, ["a"]), (LDS, []), (RDS, ["r"])):
+        r = only(s.request(type_url, "", names))
+        s.request(type_url, r.nonce, names)
+    sent = [
+        (r.type_url, sorted(x.name for x in r.resources))
+        for step in steps(before, after)
+        for r in s.push(step)
+    ]
+    assert sent[0] == (CDS, ["a", "b"]) and sent[-1][1] in (["b"], [])
+    assert sent.index((RDS, ["r"])) < sent.index((CDS, ["b"]))
+    assert steps(before, before) == [before]
+
+
+# ---- any interleaving -------------------------------------------------------------------------------
+
+NAMES = "abcd"
+
+
+class Client:
+    """A well-behaved proxy by the published rules, over a link that may break."""
+
+    def __init__(self, rng: Random, delta: bool, now: Snapshot) -> None:
+        self.rng, self.delta = rng, delta
+        self.held: dict[str, dict[str, Resource]] = {t: {} for t in (CDS, EDS)}
+        self.names: set[str] = {"a"}
+        self.connect(now)
+
+    def connect(self, now: Snapshot) -> None:
+        """A new stream; what was on its way is lost."""
+        self.inbox: list[Response] = []
+        self.nonce: dict[str, str] = {}
+        if self.delta:
+            self.stream = DeltaStream(now)
+            for t, names in ((CDS, []), (EDS, sorted(self.names))):
+                initial = {n: r.version for n, r in self.held[t].items()}
+                self.inbox += self.stream.request(t, subscribe=names, initial=initial)
+        else:
+            self.stream = SotwStream(now)
+            self.inbox += self.stream.request(CDS, "", []) + self.stream.request(EDS, "", sorted(self.names))
+
+    def read(self, refuse: bool) -> None:
+        """Takes the next response, and ACKs or refuses it."""
+        if not self.inbox:
+            return
+        r = self.inbox.pop(0)
+        # A resource that came after it was no longer wanted is let fall.
+        kept = [x for x in r.resources if r.type_url == CDS or x.name in self.names]
+        if not refuse:
+            if self.delta:
+                for x in kept:
+                    self.held[r.type_url][x.name] = x
+                for n in r.removed:
+                    self.held[r.type_url].pop(n, None)
+            elif r.type_url == CDS:
+                self.held[CDS] = {x.name: x for x in kept}
+            else:
+                self.held[EDS].update({x.name: x for x in kept})
+        self.nonce[r.type_url] = r.nonce
+        error = "refused" if refuse else ""
+        if self.delta:
+            self.inbox += self.stream.request(r.type_url, nonce=r.nonce, error=error)
+        else:
+            names = sorted(self.names) if r.type_url == EDS else []
+            self.inbox += self.stream.request(r.type_url, r.nonce, names, error)
+
+    def resubscribe(self) -> None:
+        names = {n for n in NAMES if self.rng.random() < 0.5} or {"a"}
+        added, dropped = names - self.names, self.names - names
+        self.names = names
+        for n in dropped:
+            self.held[EDS].pop(n, None)
+        if self.delta:
+            self.inbox += self.stream.request(EDS, subscribe=sorted(added), unsubscribe=sorted(dropped))
+        else:
+            self.inbox += self.stream.request(EDS, self.nonce.get(EDS, ""), sorted(names))
+
+
+@pytest.mark.parametrize("delta", [False, True], ids=["sotw", "delta"])
+def test_any_interleaving_ends_with_exactly_the_current_resources(delta):
+    for seed in range(300):
+        rng = Random(seed)
+
+        def draw(rng: Random = rng) -> Snapshot:
+            names = [n for n in NAMES if rng.random() < 0.6]
+            return snapshot(
+                cds={n: str(rng.randrange(2)) for n in names}, eds={n: str(rng.randrange(3)) for n in names}
+            )
+
+        now = draw()
+        client = Client(rng, delta, now)
+        for _ in range(60):
+            what = rng.random()
+            if what < 0.3:
+                after = draw()
+                for step in steps(now, after):
+                    client.inbox += client.stream.push(step)
+                now = after
+            elif what < 0.75:
+                client.read(refuse=rng.random() < 0.2)
+            elif what < 0.9:
+                client.resubscribe()
+            else:
+                client.connect(now)
+            # At every step: nothing held that was never published under that name, no more than asked for.
+            assert set(client.held[EDS]) <= set(NAMES) and all(
+                n == r.name for n, r in client.held[EDS].items()
+            )
+        # A change after the last refusal, and time to read all of it.
+        after = snapshot(cds=dict.fromkeys("abc", "last"), eds=dict.fromkeys("abc", "last"))
+        for step in steps(now, after):
+            client.inbox += client.stream.push(step)
+        while client.inbox:
+            client.read(refuse=False)
+        if not delta:
+            # What a state-of-the-world proxy subscribed to with a stale nonce it asks for again with the newest.
+            client.inbox += client.stream.request(EDS, client.nonce.get(EDS, ""), sorted(client.names))
+            while client.inbox:
+                client.read(refuse=False)
+        assert client.held[CDS] == dict(after.get(CDS)), seed
+        wanted = {n: r for n, r in after.get(EDS).items() if n in client.names}
+        held = {
+            n: r for n, r in client.held[EDS].items() if delta or n in after.get(EDS) and n in client.names
+        }
+        assert held == wanted, seed
+
+
+def test_the_order_of_types_is_make_before_break():
+    assert ORDER == (CDS, EDS, LDS, RDS)
