--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -78,11 +78,11 @@
         stop("interrupted; nothing is left running", 130)
     told = report(run)
     out.print(ends_table("Clients", told))
-    drained = told["servers"]["s1"]
+    after = told["servers"]["s1"]["latest_after_told_us"] / 1000
     out.print(
-        f"service {told['service']:.1%} of the worth asked for, {told['attempts_per_request']:.2f} attempts a request. "
-        f"s1's last new work came {drained['latest_after_told_us'] / 1000:.1f} ms after discovery was told to drain it "
-        "(the rule: 250 ms)."
+        f"service {told['service']:.1%} of the worth asked for, "
+        f"{told['attempts_per_request']:.2f} attempts a request. After discovery was told to drain s1, it got "
+        + (f"new work for {after:.1f} ms (the rule: 250 ms)." if after else "no new work.")
     )
     for done in told["events"]:
         factor = f" x{done['factor']:g}" if "factor" in done else ""
