--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -5,11 +5,17 @@
 import json
 import os
 import sys
+from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Annotated, Any, NoReturn
+from typing import TYPE_CHECKING, Annotated, Any, NoReturn
 
 import typer
 
+if TYPE_CHECKING:
+    from rich.console import Console
+
+    from harecross.replay.run import Run
+
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A load balancer for services that call services.")  # fmt: skip
 trace_app = typer.Typer(no_args_is_help=True, help="Public cluster traces.")
@@ -44,38 +50,54 @@
     raise typer.Exit(main())
 
 
-@app.command()
-def demo(seed: Annotated[int, typer.Option(help="Of arrivals and works.")] = 1) -> None:
-    """Real nodes before stand-in servers, one of which slows down and one of which drains: ten seconds."""
+def play_live(
+    console: Console, of: str, start: Callable[[Callable[[Run], None]], Coroutine[Any, Any, Run]]
+) -> Run:
+    """Plays a run to its end, with a live table on a terminal; `of` follows the seconds in its title."""
     import uvloop
     from rich.live import Live
 
-    from harecross import demo as scene
-    from harecross.console import ends_table, live_table, out
-    from harecross.replay.run import Run, execute, report
+    from harecross.console import live_table
     from harecross.standins.cluster import ClusterError
 
-    out.print(
-        f"{scene.NODES} nodes, {len(scene.SERVERS)} stand-in servers, {scene.RATE:g} requests a second with a burst; "
-        "s0 slows down eightfold at 1.5 s, s1 drains at 3 s, s0 recovers at 4.5 s."
-    )
     try:
-        with Live(console=out, refresh_per_second=4, transient=out.is_terminal) as live:
+        with Live(console=console, refresh_per_second=4, transient=True) as live:
 
             def watch(run: Run) -> None:
-                if out.is_terminal:
-                    live.update(live_table(run, f"{run.loop.now() / 1e6:.1f} s"))
-
-            run = uvloop.run(
-                execute(
-                    scene.arrivals(seed), scene.CLASSES, [scene.SERVERS], scene.NODES, scene.EVENTS,
-                    seed=seed, watch=watch,
-                )
-            )  # fmt: skip
+                if console.is_terminal:
+                    live.update(live_table(run, f"{run.loop.now() / 1e6:.1f}{of} s"))
+
+            return uvloop.run(start(watch))
     except ClusterError as e:
         stop(str(e), 1)
     except KeyboardInterrupt:
         stop("interrupted; nothing is left running", 130)
+
+
+@app.command()
+def demo(seed: Annotated[int, typer.Option(help="Of arrivals and works.")] = 1) -> None:
+    """Real nodes before stand-in servers, one of which slows down and one of which drains: ten seconds."""
+    from harecross import demo as scene
+    from harecross.console import ends_table, out
+    from harecross.replay.run import execute, report
+
+    out.print(
+        f"{scene.NODES} nodes, {len(scene.SERVERS)} stand-in servers, {scene.RATE:g} requests a second with a burst; "
+        "s0 slows down eightfold at 1.5 s, s1 drains at 3 s, s0 recovers at 4.5 s."
+    )
+    run = play_live(
+        out,
+        "",
+        lambda watch: execute(
+            scene.arrivals(seed),
+            scene.CLASSES,
+            [scene.SERVERS],
+            scene.NODES,
+            scene.EVENTS,
+            seed=seed,
+            watch=watch,
+        ),
+    )
     told = report(run)
     out.print(ends_table("Clients", told))
     after = told["servers"]["s1"]["latest_after_told_us"] / 1000
@@ -196,15 +218,11 @@
     html: Annotated[Path | None, typer.Option(help="A page with plots.")] = None,
 ) -> None:
     """Replay a trace against real nodes and stand-in servers, open loop."""
-    import uvloop
-    from rich.live import Live
-
-    from harecross.console import ends_table, err, live_table, out
+    from harecross.console import ends_table, err, out
     from harecross.replay.callers import Arrival, Habits
     from harecross.replay.page import page
     from harecross.replay.plan import plan_replay, read_event
-    from harecross.replay.run import Run, execute, report
-    from harecross.standins.cluster import ClusterError
+    from harecross.replay.run import execute, report
     from harecross.traces.causes import BadTrace
 
     for option, ok, allowed in (
@@ -237,23 +255,14 @@
         )
     rows = zip(plan.due, plan.klass, plan.work, plan.tier, strict=True)
     arrivals = (Arrival(d, k, w, t) for d, k, w, t in rows)
-    try:
-        with Live(console=show, refresh_per_second=4, transient=True) as live:
-
-            def watch(run: Run) -> None:
-                if show.is_terminal:
-                    live.update(live_table(run, f"{run.loop.now() / 1e6:.1f} of {plan.due[-1] / 1e6:.1f} s"))
-
-            run = uvloop.run(
-                execute(
-                    arrivals, plan.classes, plan.servers, nodes, [*plan.events, *events],
-                    Habits(retries), seed, report_window, watch,
-                )
-            )  # fmt: skip
-    except ClusterError as e:
-        stop(str(e), 1)
-    except KeyboardInterrupt:
-        stop("interrupted; nothing is left running", 130)
+    run = play_live(
+        show,
+        f" of {plan.due[-1] / 1e6:.1f}",
+        lambda watch: execute(
+            arrivals, plan.classes, plan.servers, nodes, [*plan.events, *events], Habits(retries), seed,
+            report_window, watch,
+        ),
+    )  # fmt: skip
     tally = plan.tally
     told = {
         "format": plan.format, "files": [f.name for f in files], "speed": speed, "seed": seed,
