A read-only view of servers, outside observations in; what fronts share is harecross/core

A control service needs what the module thinks of each server, and feeds it with probes and proxies' load reports. view() gives state, ejection, warmth, expected cost and limit; reported() and probed() book what others saw, with the same test for ejection as a node's own calls; subset_most lets one copy judge every server. host, servers, answers, requests and discovery moved to harecross/core, so that xds/ and later fronts need not import node/.

--- /dev/null
+++ b/harecross/core/__init__.py
@@ -0,0 +1,4 @@
+"""What every front shares: the request table, attempts, connections to servers, the watch on discovery.
+
+Fronts import it; it imports decisions alone.
+"""
--- a/harecross/node/answers.py
+++ b/harecross/core/answers.py
@@ -9,8 +9,8 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from harecross.core.requests import BODY_MOST
 from harecross.interface import Outcome
-from harecross.node.requests import BODY_MOST
 from harecross.settings import COLUMNS
 
 HEAD_MOST = 1 << 14
--- a/harecross/node/discovery.py
+++ b/harecross/core/discovery.py
@@ -10,9 +10,9 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
+from harecross.core.host import Host, guard, say
+from harecross.core.servers import Servers, clock
 from harecross.interface import ListKind, ServerEntry, State
-from harecross.node.host import Host, guard, say
-from harecross.node.servers import Servers, clock
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 SILENCE = 3.0  # seconds; an empty line comes every 2
--- a/harecross/node/host.py
+++ b/harecross/core/host.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from harecross.core.requests import Message
+from harecross.core.servers import Exchange, Servers, clock
 from harecross.interface import ListKind, Outcome, ServerEntry, Settings
-from harecross.node.requests import Message
-from harecross.node.servers import Exchange, Servers, clock
 from harecross.policy.balancer import Balancer
 
 ROOM = 15_000  # of the client's time is kept for answering
--- a/harecross/node/servers.py
+++ b/harecross/core/servers.py
@@ -10,9 +10,9 @@
 from time import monotonic_ns
 from typing import cast
 
+from harecross.core.answers import Answer, Reading, read_report, report_places
+from harecross.core.requests import HOST
 from harecross.interface import Outcome
-from harecross.node.answers import Answer, Reading, read_report, report_places
-from harecross.node.requests import HOST
 
 IDLE_MARGIN = 1_500_000  # an idle connection is dropped so long before the server would close it
 
--- a/harecross/interface.py
+++ b/harecross/interface.py
@@ -108,6 +108,7 @@
     cross_zone_price: float = 0.0
     over_share_worth: float = 1.0
     report_fields: Sequence[str] = ()
+    subset_most: int = 0  # members of the subset at most; 0: as many as a node takes
 
     def __post_init__(self) -> None:
         def need(ok: bool, key: str) -> None:
@@ -131,6 +132,7 @@
         need(0 < self.cold_share <= 1, "cold_share")
         need(self.fall_multiple >= 0, "fall_multiple")
         need(self.fall_time >= 0, "fall_time")
+        need(self.subset_most >= 0, "subset_most")
 
 
 @dataclass(frozen=True)
@@ -146,6 +148,18 @@
     ready_at: int = 0  # when it last started; 0 = long ago
 
 
+@dataclass(frozen=True, slots=True)
+class View:
+    """What a Balancer thinks of one server, for those who hand it on."""
+
+    server: int
+    state: State  # DRAINING where it has left the list with calls still out
+    ejected: bool
+    warmth: float  # present part of a warm server's capacity, in (0, 1]
+    cost: float  # expected time of one more call, in mean round-trips or, where it reports, mean reports
+    limit: float  # calls that this copy would hold there, on average
+
+
 class Actions(Protocol):
     """What a Balancer asks of its host. Calls take effect at the `now` of the event being handled."""
 
@@ -212,6 +226,8 @@
 
     def probed(self, now: int, server: int, ok: bool, latency: int, report: Sequence[float]) -> None: ...
 
+    def reported(self, now: int, server: int, good: int, bad: int, report: Sequence[float]) -> None: ...
+
     def timer(self, now: int, token: int) -> None: ...
 
     def peer_message(self, now: int, peer: int, data: bytes) -> None: ...
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -13,12 +13,12 @@
 
 import uvloop
 
+from harecross.core.discovery import Directory, Discovery
+from harecross.core.host import Host, say
+from harecross.core.requests import Reader
+from harecross.core.servers import Servers, clock
 from harecross.node.callers import ACCEPTS, Callers
 from harecross.node.config import BadConfig, Config, read_config
-from harecross.node.discovery import Directory, Discovery
-from harecross.node.host import Host, say
-from harecross.node.requests import Reader
-from harecross.node.servers import Servers, clock
 
 BACKLOG = 1024
 RESERVE = ACCEPTS + 8  # descriptors for connections about to be closed, two watches, a file
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -9,9 +9,9 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
-from harecross.node.host import Host, Request, guard
-from harecross.node.requests import BODY_MOST, HEAD_MOST, HEADERS_MOST, BadRequest, Message, Reader
-from harecross.node.servers import clock
+from harecross.core.host import Host, Request, guard
+from harecross.core.requests import BODY_MOST, HEAD_MOST, HEADERS_MOST, BadRequest, Message, Reader
+from harecross.core.servers import clock
 
 AHEAD = 8  # requests that may wait on one connection; callers send one at a time
 OWED = 2_500_000  # from connecting, and from a message's first byte, to its last
--- a/harecross/policy/balancer.py
+++ b/harecross/policy/balancer.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from math import sqrt
 
-from harecross.interface import NEVER_RAN, Effect, ListKind, Outcome, ServerEntry, State
+from harecross.interface import NEVER_RAN, Effect, ListKind, Outcome, ServerEntry, State, View
 from harecross.policy.controller import LATE_MOST, MIN_LIMIT, WINDOW
 from harecross.policy.draw import SILENT_FACTOR, Draw
 from harecross.policy.health import SLOWEST
@@ -160,7 +160,13 @@
             self.actions.cancel(request, r.attempts - 1)
 
     def probed(self, now: int, server: int, ok: bool, latency: int, report: Sequence[float]) -> None:
-        """Not used: half-open trials are real calls."""
+        """The module asks for no probes: its trials are real calls. A control service probes by itself."""
+        self.reported(now, server, int(ok), int(not ok), report)
+
+    def reported(self, now: int, server: int, good: int, bad: int, report: Sequence[float]) -> None:
+        """Calls that others made to a server, and how many failed."""
+        if server in self.servers:
+            self.observe(now, self.servers[server], good, bad, report)
 
     def timer(self, now: int, token: int) -> None:
         kind, value = token >> TOKEN_BITS, token & ((1 << TOKEN_BITS) - 1)
@@ -201,6 +207,17 @@
             "rq_overtaken": self.overtaken,
         }
 
+    def view(self, now: int) -> list[View]:
+        """What is thought of each server. Changes nothing."""
+        mean, memory = min(self.mean_rtt), self.memory()
+        limit = self.controller.allowed() / max(1, len(self.able))
+        views = []
+        for srv in self.servers.values():
+            cost = srv.load(now, mean, memory, self.mean_cost) / (srv.in_flight + 1)
+            state = State.READY if srv.in_list else State.DRAINING
+            views.append(View(srv.id, state, srv.ejected, self.warmth(now, srv), cost, limit))
+        return views
+
     # ---- a request's life -----------------------------------------------------------------------------
 
     def attempt(self, now: int, r: Request) -> None:
--- a/harecross/policy/draw.py
+++ b/harecross/policy/draw.py
@@ -112,6 +112,13 @@
             self.eject(now, srv, silent=True)
         return srv.ejected
 
+    def warmth(self, now: int, srv: Server) -> float:
+        """The present part of a warm server's capacity."""
+        if srv.cold_until <= now:
+            return 1.0
+        s = self.settings
+        return s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
+
     def may_send(self, now: int, srv: Server) -> bool:
         """Slow start: a cold server takes its present share of what a warm member gets from this copy.
 
@@ -120,9 +127,9 @@
         """
         if srv.cold_until <= now:
             return True
-        s = self.settings
-        warmth = s.cold_share + (1 - s.cold_share) * max(0.0, 1 - (srv.cold_until - now) / s.cold_time)
-        srv.tokens = min(1.0, srv.tokens + self.warm_rate * warmth * (now - srv.tokens_at) / 1e6)
+        srv.tokens = min(
+            1.0, srv.tokens + self.warm_rate * self.warmth(now, srv) * (now - srv.tokens_at) / 1e6
+        )
         srv.tokens_at = now
         if srv.tokens < 1:
             return False
--- a/harecross/policy/health.py
+++ b/harecross/policy/health.py
@@ -88,18 +88,45 @@
             if srv.ejected:
                 if srv.trial_out:
                     self.eject(now, srv, silent=False)
-            elif (
-                srv.fails_in_row >= EJECT_FAILS
-                and srv.fail_rate > self.fail_rate * 2
-                or srv.calls >= EJECT_FAILS
-                and srv.fail_rate > EJECT_RATE + self.fail_rate
-            ):
+            elif self.failing(srv):
                 # Failure prevented: a member that fails quickly holds few calls and wins the draws.
                 self.eject(now, srv, silent=False)
         elif srv.trial_out:
             self.eject(now, srv, silent=srv.silent)
         srv.trial_out = False
 
+    def failing(self, srv: Server) -> bool:
+        """Fails in a row, or far more often than the others."""
+        rate, row = srv.fail_rate, srv.fails_in_row >= EJECT_FAILS
+        return (
+            row
+            and rate > self.fail_rate * 2
+            or srv.calls >= EJECT_FAILS
+            and rate > EJECT_RATE + self.fail_rate
+        )
+
+    def observe(self, now: int, srv: Server, good: int, bad: int, report: Sequence[float]) -> None:
+        """Books what others saw: a probe (which is a trial as well), or the calls that a proxy reports."""
+        if report and self.report_cost:
+            self.learn_cost(srv, report)
+        n = good + bad
+        if n <= 0:
+            return
+        srv.seen_at = now
+        srv.calls += n
+        part = max(1 - (1 - SMOOTH) ** n, n / (srv.calls + FAIL_PRIOR))
+        srv.fail_rate += part * (bad / n - srv.fail_rate)
+        # Failure prevented: one proxy's thousand failures at one server pass for the failures of all.
+        self.fail_rate += SMOOTH_ALL * (bad / n - self.fail_rate)
+        srv.fails_in_row = 0 if good else srv.fails_in_row + bad
+        if srv.ejected:
+            if now >= srv.trial_at and bad:
+                self.eject(now, srv, silent=False)
+            elif now >= srv.trial_at:
+                self.readmit(srv)
+        elif bad and self.failing(srv):
+            self.eject(now, srv, silent=False)
+
     def learn_speed(self, srv: Server, ratio: float) -> None:
         """Books a round-trip, in mean round-trips, to the member and to its kind."""
         kind = srv.kind
--- a/harecross/policy/state.py
+++ b/harecross/policy/state.py
@@ -111,7 +111,7 @@
         # Failure prevented: a copy with a call a second knows none of many members and keeps no connection
         # to them. Where copies are many, few members each still spread the load over all servers.
         wanted = ceil(SUBSET_COVER * listed / self.settings.instances)
-        wanted = min(SUBSET_MAX, max(SUBSET_MIN, wanted))
+        wanted = self.settings.subset_most or min(SUBSET_MAX, max(SUBSET_MIN, wanted))
         if len(self.members) < wanted:
             pool = [srv for _, srv in sorted(self.servers.items()) if srv.in_list and not srv.member]
             while pool and len(self.members) < wanted:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -28,13 +28,13 @@
     with_node,
 )
 
+from harecross.core.answers import Answer, read_report, report_places
+from harecross.core.discovery import Directory
+from harecross.core.host import Request
+from harecross.core.requests import time_left
+from harecross.core.servers import Connection, Exchange, Servers, clock
 from harecross.interface import ListKind, Outcome, State
 from harecross.node import callers
-from harecross.node.answers import Answer, read_report, report_places
-from harecross.node.discovery import Directory
-from harecross.node.host import Request
-from harecross.node.requests import time_left
-from harecross.node.servers import Connection, Exchange, Servers, clock
 from harecross.policy import balancer
 from harecross.policy.balancer import Balancer
 from harecross.policy.controller import GradientController
