--- a/harecross/xds/publish.py
+++ b/harecross/xds/publish.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
-from math import floor
+from math import ceil, floor
 
 WEIGHT = 100  # of a warm server of mean cost
 WEIGHT_LEAST, WEIGHT_MOST = 10, 1000
@@ -17,6 +17,8 @@
 PANIC = 0.5  # no more than this part of the listed servers is kept from proxies by our own doubts
 SHRINK = 0.5  # a list that loses more than this part of its servers at once, with no word of a drain...
 HOLD = 30_000_000  # ...is disbelieved for so long
+CALLS_LEAST = 3  # a proxy may always have so many calls out
+ZONE_PRICE = 0.01  # servers of other zones come second where a crossing costs this share of a request's worth
 
 
 class Health(IntEnum):
@@ -52,6 +54,18 @@
     weight: int
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class Told:
+    """All that proxies are told of one cluster. `endpoints` is None while nothing is known of them."""
+
+    endpoints: tuple[Endpoint, ...] | None
+    limit: int = 0  # calls that one proxy may have out; 0 for no bound
+    zoned: bool = False  # servers of a proxy's own zone come first
+
+    def same(self, other: Told) -> bool:
+        return (self.endpoints, self.limit, self.zoned) == (other.endpoints, other.limit, other.zoned)
+
+
 @dataclass(slots=True)
 class Publisher:
     """One cluster's publication, with the memory that keeps it steady."""
@@ -61,6 +75,7 @@
         default_factory=dict
     )  # disbelieved absences, since when
     seen: dict[str, ServerView] = field(default_factory=dict)
+    limit: int = 0
 
     def believe(self, now: int, views: Sequence[ServerView]) -> list[ServerView]:
         """The views, and those servers whose sudden absence is not believed yet.
@@ -101,6 +116,12 @@
         self.told = told
         return list(told.values())
 
+    def tell(self, now: int, views: Sequence[ServerView], limit: int, price: float = 0.0) -> Told:
+        """All of it: `limit` moves with the same hysteresis as weights."""
+        if not self.limit or not limit or abs(limit - self.limit) > HYSTERESIS * self.limit:
+            self.limit = limit
+        return Told(tuple(self.decide(now, views)), self.limit, price >= ZONE_PRICE)
+
     def weight(self, v: ServerView, mean: float) -> int:
         """By cost, with hysteresis; a cold server's rises in steps and is never more than its warmth's part."""
         fresh = min(WEIGHT_MOST, max(WEIGHT_LEAST, round(WEIGHT * mean / max(v.cost, 1e-9))))
@@ -114,6 +135,23 @@
         return fresh
 
 
+def priority(zone: str, proxy_zone: str, zones: Collection[str]) -> int:
+    """Of a server for a proxy: 0 goes first. Where none stands in the proxy's zone, all are equal."""
+    return int(proxy_zone in zones and zone != proxy_zone)
+
+
+def calls_out(views: Sequence[ServerView], each: float, proxies: int) -> int:
+    """The bound on one proxy's calls out, from what a warm server may hold; 0 (no bound) for `each` of 0.
+
+    Twice an even part: calls do not come evenly. Failure prevented: many proxies, each within its own bound,
+    together bury servers of which half are gone.
+    """
+    if each <= 0:
+        return 0
+    room = each * sum(v.warmth for v in views if not (v.draining or v.ejected))
+    return max(CALLS_LEAST, ceil(room * 2 / max(2, proxies)))
+
+
 def urgent(before: Sequence[Endpoint], after: Sequence[Endpoint]) -> bool:
     """Whether a change must go out at once: a drain, an ejection, a removal, a new address. Weights can wait."""
     old = {e.name: e for e in before}
