--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -20,6 +20,8 @@
                   help="A load balancer for services that call services.")  # fmt: skip
 trace_app = typer.Typer(no_args_is_help=True, help="Public cluster traces.")
 app.add_typer(trace_app, name="trace")
+control_app = typer.Typer(invoke_without_command=True)
+app.add_typer(control_app, name="control")
 
 Files = Annotated[list[Path], typer.Argument(help="The trace's files, plain, .gz or .zst, in order.")]
 FormatName = Annotated[str | None, typer.Option("--format", help="In place of recognising it.")]
@@ -74,6 +76,67 @@
         stop("interrupted; nothing is left running", 130)
 
 
+@control_app.callback()
+def control(
+    context: typer.Context,
+    config: Annotated[Path | None, typer.Option(help="The service's file (deploy/control.toml).")] = None,
+) -> None:
+    """Hand the decisions to other proxies over xDS; `status` asks a running service who holds what."""
+    if context.invoked_subcommand is not None:
+        return
+    if config is None:
+        stop("control: --config FILE is needed (deploy/control.toml is one)")
+    try:
+        from harecross.xds.service import main as serve
+    except ImportError as e:
+        stop(f"control needs the extra `xds`: {e}")
+    from harecross.operators import BadFile
+
+    try:
+        serve(config)
+    except BadFile as e:
+        stop(str(e))
+
+
+@control_app.command("status")
+def control_status(
+    address: Annotated[str, typer.Option(help="HOST:PORT of the service.")] = "127.0.0.1:18000",
+    ca: Annotated[Path | None, typer.Option(help="With TLS: who signed the service's certificate.")] = None,
+    cert: Annotated[Path | None, typer.Option(help="The client's certificate.")] = None,
+    key: Annotated[Path | None, typer.Option(help="The client's key.")] = None,
+    json_to: Annotated[str | None, typer.Option("--json", help="A file, or - for standard output.")] = None,
+) -> None:
+    """Each proxy: what it was sent, has acknowledged and has refused, and why."""
+    try:
+        from harecross.xds.ask import BadAnswer, ask
+    except ImportError as e:
+        stop(f"control status needs the extra `xds`: {e}")
+    from harecross.console import out, table
+
+    try:
+        rows = ask(address, ca, cert, key)
+    except BadAnswer as e:
+        stop(str(e), 1)
+    except OSError as e:
+        stop(f"{e.filename}: {e.strerror}")
+    write_json({"proxies": rows}, json_to)
+    if json_to == "-":
+        return
+    t = table(f"{len(rows)} streams", "node", "address", "variant", "age s", "type", "state", "acknowledged")
+    refusals = []
+    for row in rows:
+        for i, state in enumerate(row["types"] or [{}]):
+            who = (row["node"], row["peer"], row["variant"], f"{row['age_s']:.0f}") if i == 0 else ("",) * 4
+            t.add_row(*who, state.get("type", "-"), state.get("state", ""), state.get("acked", ""))
+            if state.get("reason"):
+                refusals.append(
+                    f"{row['node']} refused {state['type']} {state['refused']}: {state['reason']}"
+                )
+    out.print(t)
+    for line in refusals:
+        out.print(line, highlight=False, markup=False, soft_wrap=True)
+
+
 @app.command()
 def demo(seed: Annotated[int, typer.Option(help="Of arrivals and works.")] = 1) -> None:
     """Real nodes before stand-in servers, one of which slows down and one of which drains: ten seconds."""
--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, cast
 
 from httptools import HttpParserError, HttpResponseParser
@@ -53,6 +53,9 @@
         self.last = 0
         self.listed: dict[int, ServerEntry] = {}  # in service, as last told
         self.owners: dict[str, int] = {}  # who listens at an address
+        self.heard: Callable[[Any, bool, bool], None] | None = (
+            None  # each update, whether full, whether cached
+        )
         # Fixed once: the module takes any other start time for another process.
         self.unix_offset = time.time_ns() // 1000 - clock()
 
@@ -82,6 +85,8 @@
         kind = ListKind.CACHED if cached else ListKind.FULL if full else ListKind.CHANGES
         self.host.server_list(kind, list(entries.values()))
         self.forget()
+        if self.heard is not None:
+            self.heard(update, full, cached)
 
     def entries(self, item: Any) -> list[ServerEntry]:
         """What one line says, of its server and of one whose address it takes over."""
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import uvloop
 
@@ -41,10 +41,25 @@
         return 16
 
 
+class Beside(Protocol):
+    """A service that runs in the node's process and reads what it knows."""
+
+    async def start(self, host: Host, directory: Directory) -> None: ...
+
+    async def stop(self) -> None: ...
+
+
 class Node:
     """The running program."""
 
-    def __init__(self, config: Config, report_every: float = REPORT_EVERY, backlog: int = BACKLOG) -> None:
+    def __init__(
+        self,
+        config: Config,
+        report_every: float = REPORT_EVERY,
+        backlog: int = BACKLOG,
+        beside: Beside | None = None,
+    ) -> None:
+        self.beside = beside
         self.report_every = report_every
         self.backlog = backlog
         self.loop = asyncio.get_running_loop()
@@ -71,6 +86,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop.set)
         self.host.start()
+        if self.beside is not None:
+            try:
+                await self.beside.start(self.host, self.directory)
+            except OSError as e:
+                raise BadConfig(f"xds.listen {e}") from None
         if self.config.known is not None:
             try:
                 self.discovery.begin(self.config.known)
@@ -135,6 +155,8 @@
         self.callers.close_all()
         self.discovery.listen(False)
         self.servers.shut()
+        if self.beside is not None:
+            await self.beside.stop()
         end = self.loop.time() + FLUSH
         while self.callers.open and self.loop.time() < end:
             await asyncio.sleep(0.01)
@@ -173,7 +195,19 @@
         told = read_toml(path, Operators)
     except BadFile as e:
         raise BadConfig(str(e)) from None
-    return {"report_every": told.log.report_every_s, "backlog": told.listen.backlog}
+    found: dict[str, Any] = {"report_every": told.log.report_every_s, "backlog": told.listen.backlog}
+    if told.xds.listen:
+        try:
+            from harecross.xds.config import listen_address
+            from harecross.xds.inside import Inside
+        except ImportError as e:
+            raise BadConfig(f"{path}: xds.listen needs the extra `xds`: {e}") from None
+        try:
+            listen_address(told.xds.listen, told.xds.plaintext == "anywhere")
+        except ValueError as e:
+            raise BadConfig(f"{path}: xds.listen: {e}") from None
+        found["beside"] = Inside(told.xds.listen, told.xds.cluster)
+    return found
 
 
 async def run(config: Config, **more: Any) -> None:
--- a/harecross/operators.py
+++ b/harecross/operators.py
@@ -7,7 +7,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, TypeVar, get_args, get_origin
+from typing import Annotated, Literal, TypeVar, get_args, get_origin
 
 import msgspec
 
@@ -30,11 +30,20 @@
     backlog: Annotated[int, msgspec.Meta(ge=1, le=65535)] = 1024
 
 
+class Xds(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[xds]`: a control service inside the node."""
+
+    listen: str = ""
+    cluster: str = "servers"
+    plaintext: Literal["loopback", "anywhere"] = "loopback"
+
+
 class Operators(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file. Every key is optional."""
 
     log: Log = Log()
     listen: Listen = Listen()
+    xds: Xds = Xds()
 
 
 def read_toml(path: str | Path, kind: type[T]) -> T:
--- a/harecross/standins/discovery.py
+++ b/harecross/standins/discovery.py
@@ -76,7 +76,8 @@
         if self.silent:
             return
         for writer in self.watches:
-            writer.write(text)
+            if not writer.transport.is_closing():  # whoever watched may have been killed
+                writer.write(text)
 
     def whole(self) -> dict[str, Any]:
         """The list as it stands."""
--- /dev/null
+++ b/harecross/xds/config.py
@@ -0,0 +1,131 @@
+"""The control service's file (`deploy/control.toml`), read strictly."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+
+from harecross.operators import BadFile, read_toml
+from harecross.xds.access import loopback
+
+Seconds = Annotated[float, msgspec.Meta(ge=0.01, le=3600)]
+SecondsOrNone = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A table in which an unknown key is an error."""
+
+
+class ControlTable(Strict, frozen=True):
+    """`[control]`."""
+
+    listen: str = "127.0.0.1:18000"
+    plaintext: Literal["loopback", "anywhere"] = "loopback"
+    interval_s: Seconds = 1.0  # least time between two releases of weights
+    wait_s: SecondsOrNone = 5.0  # at the start, for the first whole lists
+    remember: str = ""  # a file
+    adaptive_concurrency: bool = False
+    load_reports_s: SecondsOrNone = 5.0  # 0: none are asked for
+    status: tuple[str, ...] = ("*",)  # certificate names that may ask for the status
+
+
+class TlsTable(Strict, frozen=True):
+    """`[tls]`: files, read again when they change."""
+
+    certificate: str
+    key: str
+    client_ca: str = ""  # with it, clients must show a certificate
+
+
+class LimitsTable(Strict, frozen=True):
+    """`[limits]`."""
+
+    streams: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 5000
+    subscriptions: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 10_000
+    message_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 26)] = 1 << 20
+
+
+class ProbeTable(Strict, frozen=True):
+    """`[clusters.NAME.probe]`."""
+
+    kind: Literal["http", "tcp"] = "http"
+    interval_s: Seconds = 2.0
+    timeout_s: Annotated[float, msgspec.Meta(ge=0.01, le=60)] = 0.25
+
+
+class ClusterTable(Strict, frozen=True):
+    """`[clusters.NAME]`."""
+
+    discovery: str
+    probe: ProbeTable = ProbeTable()
+    columns: tuple[str, ...] = ()  # of the servers' load reports, as the node's configuration names them
+    cross_zone_price: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    calls_per_server: Annotated[float, msgspec.Meta(ge=0)] = 0.0  # 0: no bound on calls out
+    cold_s: SecondsOrNone = 0.0
+    cold_start: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.25  # share of its capacity a fresh server has
+
+
+class ControlFile(Strict, frozen=True):
+    """The whole file."""
+
+    clusters: dict[str, ClusterTable]
+    control: ControlTable = ControlTable()
+    tls: TlsTable | None = None
+    limits: LimitsTable = LimitsTable()
+    clients: dict[str, tuple[str, ...]] = {}
+
+
+def address(text: str) -> tuple[str, int]:
+    """HOST:PORT. ValueError for anything else."""
+    host, _, port = text.rpartition(":")
+    if not host or not (port.isascii() and port.isdecimal()) or int(port) > 65535:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def listen_address(text: str, anywhere: bool) -> tuple[str, int]:
+    """Where to listen without TLS. ValueError beyond loopback, unless that is allowed."""
+    host, port = address(text)
+    if not anywhere and not loopback(host):
+        raise ValueError(f'{text!r} is not loopback: set [tls], or plaintext = "anywhere"')
+    return host, port
+
+
+def read_control(path: str | Path) -> ControlFile:
+    """The file. BadFile names the file, the key and what is allowed."""
+    told = read_toml(path, ControlFile)
+
+    def check(key: str, ok: bool, allowed: str) -> None:
+        if not ok:
+            raise BadFile(f"{path}: {key}: {allowed}")
+
+    check("clusters", bool(told.clusters), "at least one [clusters.NAME] is needed")
+    for key, text in [("control.listen", told.control.listen)] + [
+        (f"clusters.{n}.discovery", c.discovery) for n, c in told.clusters.items()
+    ]:
+        try:
+            address(text)
+        except ValueError as e:
+            raise BadFile(f"{path}: {key}: {e}") from None
+    if told.tls is None:
+        try:
+            listen_address(told.control.listen, told.control.plaintext == "anywhere")
+        except ValueError as e:
+            raise BadFile(f"{path}: control.listen: {e}") from None
+        check(
+            "clients", not told.clients, "needs [tls] with client_ca: without certificates there are no names"
+        )
+    else:
+        for name, file in (
+            ("certificate", told.tls.certificate),
+            ("key", told.tls.key),
+            ("client_ca", told.tls.client_ca),
+        ):
+            check(f"tls.{name}", not file or Path(file).is_file(), f"{file!r} is not a file")
+        check("clients", not told.clients or bool(told.tls.client_ca), "needs tls.client_ca")
+    for pattern, names in told.clients.items():
+        unknown = [n for n in names if n != "*" and n not in told.clusters]
+        check(f"clients.{pattern!r}", not unknown, f"{', '.join(unknown)}: no such cluster (or * for all)")
+    return told
--- /dev/null
+++ b/harecross/xds/feed.py
@@ -0,0 +1,172 @@
+"""One cluster's view: discovery, probes and load reports in, `publish.ServerView` out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+from harecross.core.discovery import Directory, Discovery
+from harecross.core.host import Host, guard, say
+from harecross.core.servers import Exchange, Servers, clock
+from harecross.interface import ClassSettings, Effect, Outcome, Settings
+from harecross.settings import COLUMNS
+from harecross.xds.config import ClusterTable, address
+from harecross.xds.loads import Loads
+from harecross.xds.probes import Schedule
+from harecross.xds.publish import ServerView
+from harecross.xds.roster import Roster
+
+PROBES_MOST = 256  # of one cluster, out at once
+PROBE_STEP = 0.1  # seconds between two looks at which probes are due
+ALL = 1 << 30  # one copy judges every server
+
+
+class Feed:
+    """Reads one Balancer and one directory, a node's or its own."""
+
+    def __init__(self, name: str, host: Host, directory: Directory, changed: Callable[[str], None]) -> None:
+        self.name = name
+        self.host = host
+        self.directory = directory
+        self.changed = changed
+        self.roster = Roster()
+        self.loads = Loads()
+        directory.heard = self.heard
+
+    def heard(self, update: Any, full: bool, cached: bool) -> None:
+        """Discovery said something."""
+        self.roster.apply(update, full, cached)
+        self.changed(self.name)
+
+    def views(self) -> tuple[list[ServerView], float]:
+        """What is thought of each listed server, and the calls one copy would hold at each."""
+        seen = {v.server: v for v in self.host.balancer.view(clock())}
+        limits = [v.limit for v in seen.values()]
+        views = []
+        for name, line in self.roster.lines.items():
+            host, _, port = str(line.get("hostPort", "")).rpartition(":")
+            if not host or not (port.isascii() and port.isdecimal()) or int(port) > 65535:
+                continue  # the directory has said so in the log
+            draining = line["lifecycle"] != "in_service"
+            number = self.directory.numbers.get(name, 0)
+            if not draining and number not in self.directory.listed:
+                continue  # another server has taken over its address, or its line could not be read
+            v = seen.get(number)
+            zone = str(line.get("zone", ""))
+            if v is None or draining:
+                views.append(ServerView(name, f"{host}:{port}", zone, draining))
+            else:
+                views.append(ServerView(name, f"{host}:{port}", zone, False, v.ejected, v.warmth, v.cost))
+        return views, max(limits, default=0.0)
+
+    def take_loads(self) -> None:
+        """Tells the module what proxies have reported since the last time."""
+        timed = tuple(self.host.settings.report_fields) == ("latency_ms",)
+        for s in self.loads.take():
+            number = self.directory.numbers.get(s.server)
+            if number is not None:
+                report = (s.latency_ms,) if timed and s.latency_ms else ()
+                self.host.balancer.reported(clock(), number, s.good, s.bad, report)
+
+    def close(self) -> None:
+        self.directory.heard = None
+
+
+class Judge(Host):
+    """A host without callers: it probes, and says at once when the module changes its mind."""
+
+    changed: Callable[[], None] = staticmethod(lambda: None)
+    name = ""
+
+    def log(self, text: str) -> None:
+        say(f"{self.name}: {text}")
+        self.changed()
+
+
+class OwnFeed(Feed):
+    """A feed of the stand-alone service, with a Balancer, a watch on discovery and probes of its own."""
+
+    def __init__(self, name: str, told: ClusterTable, seed: int, changed: Callable[[str], None]) -> None:
+        self.told = told
+        columns = [COLUMNS.get(c, c) for c in told.columns]
+        settings = Settings(
+            classes=(ClassSettings(Effect.SAFE, aim=1_000_000, deadline=2_000_000, worth=1.0),),
+            cold_time=int(told.cold_s * 1e6),
+            cold_share=told.cold_start,
+            cross_zone_price=told.cross_zone_price,
+            report_fields=tuple(columns) or ("latency_ms",),
+            subset_most=ALL,
+        )
+        servers = Servers(int(told.probe.timeout_s * 1e6), 15_000_000, told.columns, most=4 * PROBES_MOST)
+        host = Judge(settings, seed, servers)
+        host.name = name
+        super().__init__(name, host, Directory(host, servers, (), ()), changed)
+        host.changed = lambda: changed(name)
+        host.start()
+        self.servers = servers
+        self.discovery = Discovery(self.directory, address(told.discovery), False)
+        self.schedule = Schedule(int(told.probe.interval_s * 1e6), Random(f"{seed}/{name}"))
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.clearing = 0
+
+    def start(self, memory: Any = None) -> None:
+        """Begins with a remembered list, which counts as old, and watches discovery."""
+        if memory is not None:
+            try:
+                self.directory.apply(memory, cached=True)
+            except ValueError as e:
+                say(f"{self.name}: remembered list: {e}")
+        self.discovery.generation = None
+        self.discovery.listen(True)
+        self.keep(self.probe())
+
+    def keep(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def probe(self) -> None:
+        while True:
+            await asyncio.sleep(PROBE_STEP)
+            try:
+                for server in self.schedule.due(clock(), self.directory.listed.keys()):
+                    if len(self.schedule.out) > PROBES_MOST:
+                        # Failure prevented: servers that hang hold all descriptors.
+                        self.schedule.ended(server)
+                    elif self.told.probe.kind == "tcp":
+                        self.keep(self.connect(server))
+                    else:
+                        self.servers.send(self.servers.probe(server, self.probed))
+                self.servers.sweep()
+            except Exception:
+                guard(f"{self.name}: probes")
+
+    def probed(self, exchange: Exchange, outcome: Outcome, body: bytes, report: Sequence[float]) -> None:
+        self.schedule.ended(exchange.server)
+        if outcome != Outcome.NOT_SENT:
+            self.host.probe_ended(exchange, outcome, body, report)
+
+    async def connect(self, server: int) -> None:
+        """A probe that only connects."""
+        target = self.servers.targets.get(server)
+        began = clock()
+        ok = False
+        if target is not None:
+            try:
+                async with asyncio.timeout(self.told.probe.timeout_s):
+                    _, writer = await asyncio.open_connection(target.host, target.port)
+                ok = True
+                writer.close()
+            except (OSError, TimeoutError):
+                pass
+        self.schedule.ended(server)
+        self.host.balancer.probed(clock(), server, ok, clock() - began, ())
+
+    def close(self) -> None:
+        super().close()
+        self.discovery.listen(False)
+        for task in self.tasks:
+            task.cancel()
+        self.servers.shut()
--- /dev/null
+++ b/harecross/xds/inside.py
@@ -0,0 +1,40 @@
+"""The control service inside a node (`[xds] listen`): the view is that of the node's own traffic."""
+
+from __future__ import annotations
+
+from harecross.core.discovery import Directory
+from harecross.core.host import Host, say
+from harecross.xds.feed import Feed
+from harecross.xds.press import Press
+from harecross.xds.resources import Encoder
+from harecross.xds.server import Control
+from harecross.xds.status import handler
+
+
+class Inside:
+    """Starts with the node, ends with it."""
+
+    def __init__(self, listen: str, cluster: str, interval_s: float = 1.0) -> None:
+        self.listen = listen
+        self.cluster = cluster
+        self.interval_s = interval_s
+        self.control = Control(log=say)
+        self.control.more.append(handler(self.control, lambda names: True))
+        self.press: Press | None = None
+
+    async def start(self, host: Host, directory: Directory) -> None:
+        """OSError if it cannot listen."""
+        self.press = press = Press(self.control, Encoder(), self.interval_s)
+        press.add(Feed(self.cluster, host, directory, press.changed), host.settings.cross_zone_price, None)
+        # Nothing is known before the node's first list; proxies wait for it.
+        press.every_step = lambda: setattr(
+            press, "open", press.open or press.feeds[self.cluster].roster.known()
+        )
+        await self.control.start(self.listen)
+        say(f"xds: listening on port {self.control.port}, cluster {self.cluster}")
+        press.start()
+
+    async def stop(self) -> None:
+        if self.press is not None:
+            self.press.stop()
+        await self.control.stop()
--- a/harecross/xds/resources.py
+++ b/harecross/xds/resources.py
@@ -37,14 +37,16 @@
     return Resource.of(name, message.SerializeToString(deterministic=True))
 
 
-def cluster(name: str, limit: int) -> Resource:
-    """EDS over ADS; `limit` calls may be out at once (circuit breaker), 0 for no bound."""
+def cluster(name: str, limit: int, loads: bool = False) -> Resource:
+    """EDS over ADS; `limit` calls may be out at once (circuit breaker), 0 for no bound; `loads` asks for LRS."""
     c = cluster_pb2.Cluster(name=name, type=cluster_pb2.Cluster.EDS)
     c.eds_cluster_config.eds_config.ads.SetInParent()
     c.eds_cluster_config.eds_config.resource_api_version = 2  # V3
     c.eds_cluster_config.service_name = name
     c.lb_policy = cluster_pb2.Cluster.ROUND_ROBIN
     c.common_lb_config.locality_weighted_lb_config.SetInParent()
+    if loads:
+        c.lrs_server.self.SetInParent()
     c.connect_timeout.FromMilliseconds(500)
     if limit > 0:
         threshold = c.circuit_breakers.thresholds.add()
@@ -119,8 +121,9 @@
 class Encoder:
     """Builds resources, each once while what is told of its cluster stays the same object."""
 
-    def __init__(self, adaptive: bool = False) -> None:
+    def __init__(self, adaptive: bool = False, loads: bool = False) -> None:
         self.adaptive = adaptive
+        self.loads = loads
         self.fixed: dict[str, tuple[Resource, Resource]] = {}
         self.clusters: dict[str, tuple[Told, Resource, dict[str, Resource]]] = {}
 
@@ -128,7 +131,7 @@
         """The cluster and, where its servers are known, their assignment as a proxy in `zone` gets it."""
         entry = self.clusters.get(name)
         if entry is None or entry[0] is not told:
-            entry = self.clusters[name] = (told, cluster(name, told.limit), {})
+            entry = self.clusters[name] = (told, cluster(name, told.limit, self.loads), {})
         if told.endpoints is None:
             return entry[1], None
         if not told.zoned or all(e.zone != zone for e in told.endpoints):
--- a/harecross/xds/server.py
+++ b/harecross/xds/server.py
@@ -171,6 +171,11 @@
                 proxy.wake.set()
             self.line_up(proxy)
 
+    def refresh(self) -> None:
+        """What proxies may see has changed."""
+        if self.source is not None:
+            self.publish(self.source)
+
     def view(self, proxy: Proxy) -> Snapshot:
         assert self.source is not None
         whole = self.source.for_zone(proxy.zone)
--- /dev/null
+++ b/harecross/xds/service.py
@@ -0,0 +1,184 @@
+"""The stand-alone control service: configuration, clusters, memory, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from pathlib import Path
+from typing import Any
+
+from harecross.core.host import say
+from harecross.operators import BadFile
+from harecross.xds import lrs, status
+from harecross.xds.access import allowed
+from harecross.xds.config import ControlFile, read_control
+from harecross.xds.feed import OwnFeed
+from harecross.xds.press import Press
+from harecross.xds.resources import Encoder
+from harecross.xds.server import Control, Limits
+from harecross.xds.tls import credentials
+
+REMEMBER_EVERY = 1.0  # seconds between two writes of the remembered lists, at least
+
+
+class Service:
+    """`harecross control`."""
+
+    def __init__(self, path: Path, told: ControlFile, seed: int = 1) -> None:
+        self.path = path
+        self.told = told
+        self.seed = seed
+        c = told.control
+        limits = Limits(told.limits.streams, told.limits.subscriptions, told.limits.message_bytes)
+        self.control = Control(limits, self.see, say)
+        self.control.more.append(status.handler(self.control, self.may_ask))
+        if c.load_reports_s:
+            self.control.more.append(lrs.handler(self.loads, self.see, c.load_reports_s))
+        self.press = Press(self.control, Encoder(c.adaptive_concurrency, c.load_reports_s > 0), c.interval_s)
+        self.press.every_step = self.every_step
+        self.stop = asyncio.Event()
+        self.ready = asyncio.Event()
+        self.dirty = False
+        self.wrote = 0.0
+        self.loaded = 0.0
+        self.until = 0.0
+
+    def see(self, names: tuple[str, ...]) -> frozenset[str] | None:
+        return allowed(self.told.clients, names)
+
+    def may_ask(self, names: tuple[str, ...]) -> bool:
+        patterns = self.told.control.status
+        return "*" in patterns or bool(allowed(dict.fromkeys(patterns, ("status",)), names))
+
+    def loads(self, cluster: str) -> Any:
+        feed = self.press.feeds.get(cluster)
+        return feed.loads if feed is not None else None
+
+    async def run(self) -> None:
+        """Serves until a signal. BadFile if it cannot listen."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        memory = self.remembered()
+        for name in self.told.clusters:
+            self.begin(name, memory.get(name))
+        try:
+            secure = credentials(self.told.tls, say) if self.told.tls is not None else None
+            port = await self.control.start(self.told.control.listen, secure)
+        except (OSError, ValueError) as e:
+            raise BadFile(f"{self.path}: control.listen: {e}") from None
+        self.until = loop.time() + self.told.control.wait_s
+        self.press.start()
+        say(f"control: listening on port {port}, {len(self.told.clusters)} clusters")
+        self.ready.set()
+        await self.stop.wait()
+        say("control: stopping")
+        self.press.stop()
+        self.remember(True)
+        await self.control.stop()
+
+    def begin(self, name: str, memory: Any = None) -> None:
+        told = self.told.clusters[name]
+        feed = OwnFeed(name, told, self.seed, self.changed)
+        self.press.add(feed, told.cross_zone_price, told.calls_per_server)
+        feed.start(memory)
+
+    def changed(self, name: str) -> None:
+        self.dirty = True
+        self.press.changed(name)
+
+    def every_step(self) -> None:
+        """Opens once all lists are there, or after the stated wait; load reports; memory."""
+        now = asyncio.get_running_loop().time()
+        if not self.press.open:
+            waiting = [n for n, f in self.press.feeds.items() if not f.roster.whole]
+            if not waiting or now >= self.until:
+                self.press.open = True
+                for name in waiting:
+                    known = self.press.feeds[name].roster.known()
+                    how = (
+                        "the remembered list, which is old"
+                        if known
+                        else "nothing: proxies keep what they have"
+                    )
+                    say(
+                        f"control: no list of {name} after {self.told.control.wait_s:g} s; it is served {how}"
+                    )
+        if now >= self.loaded + self.told.control.load_reports_s:
+            self.loaded = now
+            for feed in self.press.feeds.values():
+                feed.take_loads()
+        self.remember(False)
+
+    # ---- memory ---------------------------------------------------------------------------------------
+
+    def remembered(self) -> dict[str, Any]:
+        """The lists of an earlier run; a file that cannot be read is said and left out."""
+        name = self.told.control.remember
+        if not name or not Path(name).exists():
+            return {}
+        try:
+            found = json.loads(Path(name).read_text())
+            return found if isinstance(found, dict) else {}
+        except (OSError, ValueError) as e:
+            say(f"control: {name}: remembered lists not read: {e}")
+            return {}
+
+    def remember(self, now: bool) -> None:
+        """Writes the lists, by a new file put in the old one's place: a kill leaves a whole one."""
+        name, time = self.told.control.remember, asyncio.get_running_loop().time()
+        if not name or not self.dirty or (not now and time < self.wrote + REMEMBER_EVERY):
+            return
+        self.dirty, self.wrote = False, time
+        lists = {n: f.roster.memory() for n, f in self.press.feeds.items() if f.roster.known()}
+        try:
+            fresh = Path(f"{name}.new")
+            fresh.write_text(json.dumps(lists))
+            os.replace(fresh, name)
+        except OSError as e:
+            say(f"control: {name}: lists not remembered: {e.strerror}")
+
+    # ---- reload ---------------------------------------------------------------------------------------
+
+    def reload(self) -> None:
+        """SIGHUP: clusters and clients are read again; the rest counts from the next start."""
+        try:
+            told = read_control(self.path)
+        except BadFile as e:
+            say(f"control: configuration not changed: {e}")
+            return
+        old, self.told = self.told, told
+        gone = old.clusters.keys() - told.clusters.keys()
+        for name in gone:
+            self.press.remove(name)
+        fresh = [n for n, c in told.clusters.items() if old.clusters.get(n) != c]
+        for name in fresh:
+            memory = None
+            if name in old.clusters:
+                # The new watch begins with the old list: proxies see no gap.
+                memory = self.press.feeds[name].roster.memory()
+                self.press.feeds[name].close()
+            self.begin(name, memory)
+        if old.clients != told.clients:
+            for proxy in self.control.proxies:
+                proxy.allowed = self.see(proxy.names)
+            self.control.refresh()
+        text = f"control: configuration read again: {len(fresh)} clusters new or changed, {len(gone)} gone"
+        if (old.control, old.tls, old.limits) != (told.control, told.tls, told.limits):
+            text += "; control, tls and limits will count from the next start"
+        say(text)
+
+
+def main(path: Path) -> None:
+    """Runs the service. BadFile for a file that cannot be used."""
+    import uvloop
+
+    told = read_control(path)
+
+    async def body() -> None:
+        await Service(path, told).run()
+
+    uvloop.run(body())
--- a/harecross/xds/streams.py
+++ b/harecross/xds/streams.py
@@ -206,7 +206,7 @@
 class SotwStream(Stream):
     """The state-of-the-world variant. Listeners and clusters come whole; assignments and routes in parts."""
 
-    variant = "state of the world"
+    variant = "sotw"
 
     def request(
         self, type_url: str, nonce: str, names: Iterable[str], error: str = "", version: str = ""
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from itertools import count
 
 import uvloop
@@ -183,6 +184,31 @@
         return (await self.catalog.watches.get())[1]
 
 
+def config_of(discovery: str, settings: dict | None = None, **more) -> dict:
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": "8c1f",
+        "settings": {**SETTINGS, **(settings or {})},
+        **more,
+    }
+
+
+@asynccontextmanager
+async def node_at(discovery: str, **more) -> AsyncIterator[Node]:
+    """A node that watches a discovery of the test's own."""
+    node = Node(config_from(config_of(discovery)), **more)
+    task = asyncio.create_task(node.run())
+    await node.ready.wait()
+    try:
+        yield node
+    finally:
+        task.cancel()
+        if node.beside is not None:
+            await node.beside.stop()
+
+
 def with_node(
     test: Callable[[World], Awaitable[None]],
     servers: int = 1,
@@ -199,15 +225,8 @@
         entries = known or [entry(f"s{i}", o.address) for i, o in enumerate(origins)]
         for item, zone in zip(entries, zones, strict=False):
             item["zone"] = {"h": "here", "t": "there"}[zone]
-        config = {
-            "name": "n0",
-            "listen": "127.0.0.1:0",
-            "discovery": catalog.address,
-            "seed": "8c1f",
-            "limits": {"sockets": 1024, **limits},
-            "known": update(41, *entries, reset=True),
-            "settings": {**SETTINGS, **(settings or {})},
-        }
+        known_list = update(41, *entries, reset=True)
+        config = config_of(catalog.address, settings, limits={"sockets": 1024, **limits}, known=known_list)
         node = Node(config_from(config))
         task = asyncio.create_task(node.run())
         await node.ready.wait()
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,592 @@
+"""The control service as a whole: discovery, probes and proxies on loopback, and what breaks between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+
+import pytest
+
+grpc = pytest.importorskip("grpc")
+
+from node_support import node_at, run  # noqa: E402
+
+from harecross.operators import BadFile  # noqa: E402
+from harecross.standins.discovery import Catalog, entry  # noqa: E402
+from harecross.standins.model import Shape  # noqa: E402
+from harecross.standins.servers import StandinServer  # noqa: E402
+from harecross.standins.xds import ASSIGNMENT, CLUSTER, DRAINING, XdsProxy, pick  # noqa: E402
+from harecross.xds.config import read_control  # noqa: E402
+from harecross.xds.service import Service  # noqa: E402
+
+DRAIN_GRACE = 0.25
+UNHEALTHY = 2
+
+
+def text_of(catalogs: dict[str, Catalog], more: str = "", control: str = "", cluster: str = "") -> str:
+    parts = [f'[control]\nlisten = "127.0.0.1:0"\ninterval_s = 0.2\n{control}\n{more}']
+    for name, catalog in catalogs.items():
+        parts.append(f'[clusters.{name}]\ndiscovery = "{catalog.address}"\n{cluster}')
+        parts.append(f"[clusters.{name}.probe]\ninterval_s = 0.1\ntimeout_s = 0.2")
+    return "\n".join(parts)
+
+
+class Place:
+    """Catalogs, servers and one service in this process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.path = folder / "control.toml"
+        self.servers: dict[str, StandinServer] = {}
+        self.catalogs: dict[str, Catalog] = {}
+        self.service: Service | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.channel = None
+
+    async def cluster(self, name: str, servers: int = 3) -> Catalog:
+        catalog = self.catalogs[name] = await Catalog().start()
+        for i in range(servers):
+            s = self.servers[f"{name}{i}"] = await StandinServer(f"{name}{i}", Shape()).start()
+            catalog.put(entry(s.name, s.address))
+        return catalog
+
+    async def serve(self, **parts: str) -> Service:
+        self.path.write_text(text_of(self.catalogs, **parts))
+        self.service = Service(self.path, read_control(self.path))
+        self.task = asyncio.create_task(self.service.run())
+        ready = asyncio.create_task(self.service.ready.wait())
+        await asyncio.wait([self.task, ready], return_when=asyncio.FIRST_COMPLETED)
+        ready.cancel()
+        if self.task.done():
+            self.task.result()
+        self.channel = grpc.aio.insecure_channel(f"127.0.0.1:{self.service.control.port}")
+        return self.service
+
+    async def leave(self) -> None:
+        if self.channel is not None:
+            await self.channel.close()
+        if self.service is not None:
+            self.service.stop.set()
+            await self.task
+        self.service = self.channel = None
+
+    async def close(self) -> None:
+        await self.leave()
+        for catalog in self.catalogs.values():
+            await catalog.stop()
+        for server in self.servers.values():
+            server.stop()
+
+
+@asynccontextmanager
+async def place(folder: Path):
+    p = Place(folder)
+    try:
+        yield p
+    finally:
+        await p.close()
+
+
+def health(proxy: XdsProxy, cluster: str = "orders") -> dict[str, int]:
+    return {t.name: t.health for t in proxy.endpoints(cluster)}
+
+
+def test_a_drain_reaches_the_proxy_in_time_and_a_server_that_goes_leaves_the_list(tmp_path):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            catalog = await p.cluster("orders")
+            await p.serve()
+            proxy = XdsProxy(p.channel).start()
+            await proxy.until(lambda x: health(x) == {"orders0": 1, "orders1": 1, "orders2": 1})
+            told = asyncio.get_running_loop().time()
+            catalog.put(entry("orders1", p.servers["orders1"].address, "terminating"))
+            await proxy.until(lambda x: health(x).get("orders1") == DRAINING)
+            assert proxy.told_at["orders", "orders1", DRAINING] - told < DRAIN_GRACE
+            catalog.put(entry("orders1", p.servers["orders1"].address, "terminated"))
+            await proxy.until(lambda x: set(health(x)) == {"orders0", "orders2"})
+            await proxy.stop()
+
+    run(body())
+
+
+@pytest.mark.parametrize("kind", ["http", "tcp"])
+def test_a_server_that_stops_answering_probes_is_ejected_and_comes_back(tmp_path, kind):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            await p.cluster("orders", 5)
+            p.path.write_text("")
+            await p.serve(cluster="")
+            if kind == "tcp":
+                await p.leave()
+                p.path.write_text(text_of(p.catalogs).replace("timeout_s", 'kind = "tcp"\ntimeout_s'))
+                p.service = Service(p.path, read_control(p.path))
+                p.task = asyncio.create_task(p.service.run())
+                await p.service.ready.wait()
+                p.channel = grpc.aio.insecure_channel(f"127.0.0.1:{p.service.control.port}")
+            proxy = XdsProxy(p.channel).start()
+            await proxy.until(lambda x: len(health(x)) == 5)
+            server = p.servers["orders0"]
+            if kind == "http":
+                server.hung = True
+            else:
+                server.stop()
+            await proxy.until(lambda x: health(x)["orders0"] == UNHEALTHY)
+            assert sorted(health(proxy).values()) == [1, 1, 1, 1, UNHEALTHY]
+            if kind == "http":
+                server.hung = False
+            else:
+                await server.start(port=int(server.address.rpartition(":")[2]))
+            await proxy.until(lambda x: health(x)["orders0"] == 1)
+            await proxy.stop()
+
+    run(body())
+
+
+def test_discovery_that_lists_almost_nothing_is_not_believed_at_once(tmp_path):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            catalog = await p.cluster("orders", 6)
+            await p.serve()
+            proxy = XdsProxy(p.channel).start()
+            await proxy.until(lambda x: len(health(x)) == 6)
+            gone = [e for n, e in catalog.instances.items() if n != "orders0"]
+            catalog.put(*({**e, "lifecycle": "terminated"} for e in gone))
+            # What comes after it is believed, and shows that the service has read the short list.
+            catalog.put(entry("orders0", p.servers["orders0"].address, "terminating"))
+            await proxy.until(lambda x: health(x)["orders0"] == DRAINING)
+            assert len(health(proxy)) == 6
+            await proxy.stop()
+
+    run(body())
+
+
+def test_discovery_silent_at_the_start_the_remembered_list_is_served_as_old(tmp_path):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            catalog = await p.cluster("orders")
+            memory = f'remember = "{tmp_path / "lists.json"}"\nwait_s = 0.3'
+            await p.serve(control=memory)
+            proxy = XdsProxy(p.channel).start()
+            await proxy.until(lambda x: len(health(x)) == 3)
+            await proxy.stop()
+            await p.leave()
+            await catalog.stop()
+            service = await p.serve(control=memory)
+            proxy = XdsProxy(p.channel).start()
+            await proxy.until(lambda x: len(health(x)) == 3)
+            roster = service.press.feeds["orders"].roster
+            assert roster.remembered and not roster.whole
+            await proxy.stop()
+
+    run(body())
+
+
+@pytest.mark.parametrize("delta", [False, True], ids=["sotw", "delta"])
+def test_a_service_that_knows_no_list_takes_nothing_from_a_proxy(tmp_path, delta):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            catalog = await p.cluster("orders")
+            await p.serve(control="wait_s = 0.2")
+            proxy = XdsProxy(p.channel, delta=delta).start()
+            await proxy.until(lambda x: len(health(x)) == 3)
+            await proxy.stop()
+            held = (
+                {t: dict(h) for t, h in proxy.held.items()},
+                {t: dict(v) for t, v in proxy.versions.items()},
+            )
+            await p.leave()
+            await catalog.stop()
+            await p.serve(control="wait_s = 0.2")
+            again = XdsProxy(p.channel, delta=delta)
+            again.held, again.versions = held
+            again.version, again.wanted = dict(proxy.version), set(proxy.wanted)
+            again.start()
+            await again.until(lambda x: x.streams >= 1)
+            while not any(ASSIGNMENT in s.stream.types for s in p.service.control.proxies):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            assert len(health(again)) == 3 and set(again.held[CLUSTER]) == {"orders"}
+            await again.stop()
+
+    run(body())
+
+
+SERVE = (
+    "import sys; from pathlib import Path; from harecross.xds.service import main; main(Path(sys.argv[1]))"
+)
+
+
+async def process(path: Path) -> tuple[asyncio.subprocess.Process, int]:
+    """The service in a process of its own, and its port."""
+    started = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", SERVE, str(path), stderr=asyncio.subprocess.PIPE
+    )
+    while b"listening on port" not in (said := await started.stderr.readline()):
+        assert said, "the service ended"
+    return started, int(said.split(b"port ")[1].split(b",")[0])
+
+
+@pytest.mark.parametrize("delta", [False, True], ids=["sotw", "delta"])
+def test_killed_and_restarted_while_the_list_changes_no_proxy_sees_an_empty_cluster(tmp_path, delta):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            catalog = await p.cluster("orders", 6)
+            memory = f'remember = "{tmp_path / "lists.json"}"\nwait_s = 2'
+            p.path.write_text(text_of(p.catalogs, control=memory))
+            service, port = await process(p.path)
+            p.path.write_text(p.path.read_text().replace("127.0.0.1:0", f"127.0.0.1:{port}"))
+            async with grpc.aio.insecure_channel(f"127.0.0.1:{port}") as channel:
+                proxy = XdsProxy(channel, delta=delta)
+                seen: list[int] = []
+                proxy.on_response = lambda x, t, names: seen.append(
+                    len(health(x)) if "orders" in x.held[ASSIGNMENT] and "orders" in x.held[CLUSTER] else -1
+                )
+                proxy.start()
+                await proxy.until(lambda x: len(health(x)) == 6)
+                began = len(seen)
+                for turn in range(3):
+                    name = f"orders{turn}"
+                    catalog.put(entry(name, p.servers[name].address, "terminating"))
+                    service.send_signal(signal.SIGKILL)
+                    await service.wait()
+                    catalog.put(entry(name, p.servers[name].address, "terminated"))
+                    service, _ = await process(p.path)
+                    await proxy.until(lambda x, n=name: n not in health(x))
+                    catalog.put(entry(name, p.servers[name].address))
+                    await proxy.until(lambda x, n=name: health(x).get(n) == 1)
+                assert min(seen[began:], default=6) >= 5 and proxy.streams >= 4
+                service.send_signal(signal.SIGTERM)
+                assert await service.wait() == 0
+                await proxy.stop()
+
+    run(body())
+
+
+def test_a_cluster_that_leaves_the_file_goes_and_a_bad_file_changes_nothing(tmp_path):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            await p.cluster("orders")
+            await p.cluster("stock", 2)
+            service = await p.serve()
+            proxy = XdsProxy(p.channel).start()
+            await proxy.until(lambda x: len(health(x)) == 3 and len(health(x, "stock")) == 2)
+            good = p.path.read_text()
+            p.path.write_text(good + "\n[nonsense]\n")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0.05)
+            assert set(service.press.feeds) == {"orders", "stock"}
+            p.path.write_text(text_of({"orders": p.catalogs["orders"]}, cluster="cross_zone_price = 0.5"))
+            os.kill(os.getpid(), signal.SIGHUP)
+            await proxy.until(lambda x: set(x.held[CLUSTER]) == {"orders"})
+            assert len(health(proxy)) == 3
+            await proxy.stop()
+
+    run(body())
+
+
+# ---- the four rules, counted at the servers -------------------------------------------------------------
+
+
+def test_the_drain_rule_and_the_cold_rule_hold_over_all_proxies_together(tmp_path):
+    """Eight proxies call by what they are told; calls are counted where they arrive."""
+
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            catalog = await p.cluster("orders", 4)
+            await p.serve(cluster="cold_s = 2.0\ncold_start = 0.2")
+            proxies = [XdsProxy(p.channel, delta=i % 2 == 1, node=f"p{i}").start() for i in range(8)]
+            for x in proxies:
+                await x.until(lambda x: len(health(x)) == 4)
+            loop = asyncio.get_running_loop()
+            arrived: list[tuple[float, str]] = []
+            rng = Random(5)
+            calling = True
+
+            async def call() -> None:
+                while calling:
+                    for x in proxies:
+                        for _ in range(5):
+                            target = pick(rng, x.endpoints("orders"))
+                            arrived.append((loop.time(), target.name))
+                    await asyncio.sleep(0.005)
+
+            caller = asyncio.create_task(call())
+            await asyncio.sleep(0.3)
+            told = loop.time()
+            catalog.put(entry("orders0", p.servers["orders0"].address, "terminating"))
+            import time as wall
+
+            fresh = await StandinServer("fresh", Shape()).start()
+            p.servers["fresh"] = fresh
+            started = loop.time()
+            catalog.put(entry("fresh", fresh.address, startedAtMs=int(wall.time() * 1000)))
+            await asyncio.sleep(2.6)
+            calling = False
+            await caller
+            late = [t - told for t, n in arrived if n == "orders0" and t > told]
+            assert max(late, default=0.0) < DRAIN_GRACE, (
+                f"new work {max(late):.3f} s after the drain was told"
+            )
+            # In each fifth of a second a cold server's calls, against a warm one's, stay within its warmth.
+            for k in range(10):
+                at = started + 0.2 * k
+                here = [n for t, n in arrived if at <= t < at + 0.2]
+                warm = sum(n in ("orders1", "orders2", "orders3") for n in here) / 3
+                warmth = 0.2 + 0.8 * (k + 1) / 10
+                assert here.count("fresh") <= 1.3 * warmth * warm + 8, (k, here.count("fresh"), warm, warmth)
+            last = [n for t, n in arrived if t > started + 2.4]
+            assert last.count("fresh") > 0.5 * last.count("orders1")  # and once warm it has its part
+            for x in proxies:
+                await x.stop()
+
+    run(body())
+
+
+# ---- load reports ---------------------------------------------------------------------------------------
+
+
+def test_what_most_proxies_report_ejects_a_server_that_answers_its_probes(tmp_path):
+    from envoy.service.load_stats.v3 import lrs_pb2
+
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            await p.cluster("orders", 5)
+            await p.serve(control="load_reports_s = 0.1")
+            proxy = XdsProxy(p.channel).start()
+            await proxy.until(lambda x: len(health(x)) == 5)
+
+            async def report(channel) -> None:
+                method = channel.stream_stream(
+                    "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats",
+                    request_serializer=lrs_pb2.LoadStatsRequest.SerializeToString,
+                    response_deserializer=lrs_pb2.LoadStatsResponse.FromString,
+                )
+                call = method()
+                await call.write(lrs_pb2.LoadStatsRequest())
+                answer = await call.read()
+                assert answer.send_all_clusters and answer.load_reporting_interval.ToMilliseconds() == 100
+                while True:
+                    request = lrs_pb2.LoadStatsRequest()
+                    c = request.cluster_stats.add(cluster_name="orders")
+                    c.load_report_interval.FromMilliseconds(100)
+                    for i in range(5):
+                        s = c.upstream_locality_stats.add()
+                        s.locality.sub_zone = f"orders{i}"
+                        s.total_error_requests = 20 * (i == 0)
+                        s.total_successful_requests = 20 * (i != 0)
+                    request.cluster_stats.add(cluster_name="nothing")
+                    await call.write(request)
+                    await asyncio.sleep(0.1)
+
+            target = f"127.0.0.1:{p.service.control.port}"
+            channels = [
+                grpc.aio.insecure_channel(target, options=[("grpc.use_local_subchannel_pool", 1)])
+                for _ in range(3)
+            ]
+            tasks = [asyncio.create_task(report(c)) for c in channels]
+            await proxy.until(lambda x: health(x)["orders0"] == UNHEALTHY)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for c in channels:
+                await c.close()
+            await proxy.stop()
+
+    run(body())
+
+
+# ---- security -------------------------------------------------------------------------------------------
+
+
+def test_clients_see_what_their_certificate_allows_and_new_files_count_without_a_restart(tmp_path):
+    trustme = pytest.importorskip("trustme")
+
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            await p.cluster("orders")
+            await p.cluster("stock", 2)
+            ours, theirs = trustme.CA(), trustme.CA()
+
+            def put(ca) -> None:
+                server = ca.issue_cert("127.0.0.1")
+                server.cert_chain_pems[0].write_to_path(tmp_path / "server.pem")
+                server.private_key_pem.write_to_path(tmp_path / "server.key")
+                ca.cert_pem.write_to_path(tmp_path / "ca.pem")
+
+            def channel(ca, name: str | None):
+                pair = (None, None)
+                if name is not None:
+                    cert = ca.issue_cert(name)
+                    pair = (cert.private_key_pem.bytes(), cert.cert_chain_pems[0].bytes())
+                made = grpc.ssl_channel_credentials(ca.cert_pem.bytes(), *pair)
+                options = [("grpc.use_local_subchannel_pool", 1)]
+                return grpc.aio.secure_channel(f"127.0.0.1:{p.service.control.port}", made, options=options)
+
+            put(ours)
+            named = (("certificate", "server.pem"), ("key", "server.key"), ("client_ca", "ca.pem"))
+            files = "\n".join(f'{k} = "{tmp_path / f}"' for k, f in named)
+            await p.serve(
+                more=f'[tls]\n{files}\n[clients]\n"*.partner.example" = ["orders"]\n"edge.example" = ["*"]',
+                control='status = ["edge.example"]',
+            )
+
+            async def sees(ca, name: str | None) -> set[str] | str:
+                async with channel(ca, name) as c:
+                    x = XdsProxy(c).start()
+                    try:
+                        await x.until(lambda x: x.error is not None or bool(x.held[ASSIGNMENT]))
+                        return x.error.code().name if x.error is not None else set(x.held[CLUSTER])
+                    finally:
+                        await x.stop()
+
+            assert await sees(ours, "a.partner.example") == {"orders"}
+            assert await sees(ours, "edge.example") == {"orders", "stock"}
+            assert await sees(ours, "nobody.example") == "PERMISSION_DENIED"
+            assert await sees(ours, None) == "UNAVAILABLE"
+            assert await sees(theirs, "edge.example") == "UNAVAILABLE"
+            put(theirs)
+            assert await sees(theirs, "edge.example") == {"orders", "stock"}
+            assert await sees(ours, "edge.example") == "UNAVAILABLE"
+            for name, word in (("edge.example", "streams"), ("a.partner.example", "PERMISSION_DENIED")):
+                cert = theirs.issue_cert(name)
+                cert.private_key_pem.write_to_path(tmp_path / "me.key")
+                cert.cert_chain_pems[0].write_to_path(tmp_path / "me.pem")
+                code, out = await command(
+                    "control", "status", "--address", f"127.0.0.1:{p.service.control.port}",
+                    "--ca", tmp_path / "ca.pem", "--cert", tmp_path / "me.pem", "--key", tmp_path / "me.key",
+                )  # fmt: skip
+                assert word in out and code == (0 if word == "streams" else 1)
+
+    run(body())
+
+
+# ---- the command ----------------------------------------------------------------------------------------
+
+
+async def command(*args: object) -> tuple[int, str]:
+    made = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "harecross",
+        *map(str, args),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    out, _ = await made.communicate()
+    return made.returncode, out.decode()
+
+
+def test_status_shows_who_holds_what_and_who_refused_and_why(tmp_path):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            await p.cluster("orders")
+            await p.serve()
+            good = XdsProxy(p.channel, node="good").start()
+            bad = XdsProxy(p.channel, node="bad", delta=True)
+            bad.refuse = lambda t, names: "no such locality" if t == ASSIGNMENT else ""
+            bad.start()
+            await good.until(lambda x: len(health(x)) == 3)
+            await bad.until(lambda x: any(t == ASSIGNMENT for t, _, _ in x.responses))
+            address = f"127.0.0.1:{p.service.control.port}"
+            while True:
+                code, out = await command("control", "status", "--address", address, "--json", "-")
+                rows = {r["node"]: r for r in json.loads(out)["proxies"]}
+                states = {n: {t["type"]: t for t in r["types"]} for n, r in rows.items()}
+                if "EDS" in states.get("bad", {}) and states["bad"]["EDS"]["reason"]:
+                    break
+            assert code == 0 and states["good"]["EDS"]["state"] == "SYNCED"
+            assert states["bad"]["EDS"]["state"] == "ERROR"
+            assert states["bad"]["EDS"]["reason"] == "no such locality"
+            code, out = await command("control", "status", "--address", address)
+            assert code == 0 and "no such locality" in out and "SYNCED" in out
+            await good.stop()
+            await bad.stop()
+            await p.leave()
+            code, out = await command("control", "status", "--address", address)
+            assert code == 1 and "UNAVAILABLE" in out and len(out.splitlines()) <= 2
+
+    run(body())
+
+
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("", ["clusters"]),
+        ("[clusters]", ["clusters", "at least one"]),
+        ('[clusters.a]\ndiscovery = "nowhere"', ["clusters.a.discovery", "HOST:PORT"]),
+        ('[clusters.a]\ndiscovery = "h:1"\ncolour = 1', ["colour", "allowed", "calls_per_server"]),
+        (
+            '[clusters.a]\ndiscovery = "h:1"\n[control]\nlisten = "0.0.0.0:1"',
+            ["control.listen", "not loopback"],
+        ),
+        ('[clusters.a]\ndiscovery = "h:1"\n[control]\ninterval_s = 0', ["interval_s", ">= 0.01"]),
+        ('[clusters.a]\ndiscovery = "h:1"\n[clients]\nx = ["a"]', ["clients", "[tls]"]),
+        (
+            '[clusters.a]\ndiscovery = "h:1"\n[tls]\ncertificate = "none"\nkey = "none"',
+            ["tls.certificate", "not a file"],
+        ),
+        ("[clusters", ["not TOML", "at end of document"]),
+    ],
+)
+def test_a_file_that_cannot_be_is_one_line(tmp_path, text, words):
+    path = tmp_path / "control.toml"
+    path.write_text(text)
+    with pytest.raises(BadFile) as e:
+        read_control(path)
+    assert str(path) in str(e.value) and all(w in str(e.value) for w in words) and "\n" not in str(e.value)
+
+
+def test_the_command_ends_with_status_2_on_a_bad_file_or_a_port_in_use(tmp_path):
+    async def body() -> None:
+        path = tmp_path / "control.toml"
+        assert await command("control", "--config", path) == (
+            2,
+            f"harecross: {path}: No such file or directory\n",
+        )
+        code, out = await command("control")
+        assert code == 2 and "--config" in out
+        taken = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = taken.sockets[0].getsockname()[1]
+        path.write_text(f'[control]\nlisten = "127.0.0.1:{port}"\n[clusters.a]\ndiscovery = "127.0.0.1:1"')
+        code, out = await command("control", "--config", path)
+        assert code == 2 and "control.listen" in out and "Traceback" not in out
+        taken.close()
+
+    run(body())
+
+
+def test_the_shipped_file_is_good():
+    assert set(read_control(Path(__file__).parent.parent / "deploy" / "control.toml").clusters) == {"orders"}
+
+
+# ---- inside a node --------------------------------------------------------------------------------------
+
+
+def test_a_node_hands_on_its_own_view(tmp_path):
+    from harecross.xds.inside import Inside
+
+    async def body() -> None:
+        catalog = await Catalog().start()
+        servers = [await StandinServer(f"s{i}", Shape()).start() for i in range(3)]
+        for s in servers:
+            catalog.put(entry(s.name, s.address))
+        beside = Inside("127.0.0.1:0", "mine", interval_s=0.1)
+        async with node_at(catalog.address, beside=beside) as node:
+            assert node.beside is beside
+            async with grpc.aio.insecure_channel(f"127.0.0.1:{beside.control.port}") as channel:
+                proxy = XdsProxy(channel).start()
+                await proxy.until(lambda x: len(health(x, "mine")) == 3)
+                catalog.put(entry("s1", servers[1].address, "terminating"))
+                await proxy.until(lambda x: health(x, "mine")["s1"] == DRAINING)
+                await proxy.stop()
+        await catalog.stop()
+        for s in servers:
+            s.stop()
+
+    run(body())
