--- a/harecross/standins/xds.py
+++ b/harecross/standins/xds.py
@@ -97,6 +97,7 @@
         self.track: set[str] | None = None  # clusters whose endpoints are timed; None for all
         self.responses: list[tuple[str, list[str], list[str]]] = []  # type, names, removed
         self.resources = 0  # received since the last connect
+        self.took = 0.0  # when the newest response came, monotonic
         self.streams = 0
         self.stopping = False
         self.error: grpc.aio.AioRpcError | None = None
@@ -218,6 +219,7 @@
         self.nonce[type_url] = response.nonce
         self.responses.append((type_url, list(found), removed))
         self.resources += len(found)
+        self.took = time.monotonic()
         error = self.refuse(type_url, list(found))
         if not error:
             held = self.held[type_url]
--- a/harecross/xds/publish.py
+++ b/harecross/xds/publish.py
@@ -27,7 +27,7 @@
     HEALTHY = 1
     UNHEALTHY = 2
     DRAINING = 3
-    DEGRADED = 5
+    DEGRADED = 5  # never told, see `Publisher.decide`
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,9 +110,11 @@
             health = Health.HEALTHY
             if v.draining:
                 health = Health.DRAINING
-            elif v.ejected:
-                health = Health.DEGRADED if panic else Health.UNHEALTHY
-            told[v.name] = Endpoint(v.name, v.address, v.zone, health, self.weight(v, mean))
+            elif v.ejected and not panic:
+                health = Health.UNHEALTHY
+            # In panic not DEGRADED: gRPC takes endpoints that are not HEALTHY for absent (gRFC A27).
+            weight = WEIGHT_LEAST if v.ejected else self.weight(v, mean)
+            told[v.name] = Endpoint(v.name, v.address, v.zone, health, weight)
         self.told = told
         return list(told.values())
 
