Workers: several processes serve the streams of one control service

With workers = N, off by default, N processes share the port (SO_REUSEPORT); discovery, probes and decisions stay in one. A worker that ends is replaced and told everything; workers end with their service; a port that another program holds is refused. The status of one is the status of all; load reports go to the one service.

--- a/harecross/xds/access.py
+++ b/harecross/xds/access.py
@@ -22,6 +22,11 @@
     return None if "*" in found else frozenset(found)
 
 
+def fits(patterns: Sequence[str], names: Sequence[str]) -> bool:
+    """Whether a client of these names is among the patterns; `*` is everyone, without a certificate too."""
+    return "*" in patterns or any(fnmatchcase(name, p) for p in patterns for name in names)
+
+
 def loopback(host: str) -> bool:
     """Whether an address reaches this machine alone."""
     if host == "localhost":
--- a/harecross/xds/config.py
+++ b/harecross/xds/config.py
@@ -24,6 +24,7 @@
     listen: str = "127.0.0.1:18000"
     plaintext: Literal["loopback", "anywhere"] = "loopback"
     interval_s: Seconds = 1.0  # least time between two releases of weights
+    workers: Annotated[int, msgspec.Meta(ge=1, le=64)] = 1  # processes that serve streams; 1: this one
     wait_s: SecondsOrNone = 5.0  # at the start, for the first whole lists
     remember: str = ""  # a file
     adaptive_concurrency: bool = False
--- a/harecross/xds/inside.py
+++ b/harecross/xds/inside.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from harecross.core.discovery import Directory
 from harecross.core.host import Host, say
 from harecross.xds.feed import Feed
 from harecross.xds.press import Press
 from harecross.xds.resources import Encoder
 from harecross.xds.server import Control
-from harecross.xds.status import handler
+from harecross.xds.status import handler, status_table
 
 
 class Inside:
@@ -19,7 +21,7 @@
         self.cluster = cluster
         self.interval_s = interval_s
         self.control = Control(log=say)
-        self.control.more.append(handler(self.control, lambda names: True))
+        self.control.more.append(handler(self.rows, lambda names: True))
         self.press: Press | None = None
 
     async def start(self, host: Host, directory: Directory) -> None:
@@ -34,6 +36,9 @@
         say(f"xds: listening on port {self.control.port}, cluster {self.cluster}")
         press.start()
 
+    async def rows(self) -> list[dict[str, Any]]:
+        return status_table(self.control)
+
     async def stop(self) -> None:
         if self.press is not None:
             self.press.stop()
--- a/harecross/xds/lrs.py
+++ b/harecross/xds/lrs.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import grpc
 from envoy.service.load_stats.v3 import lrs_pb2
 
-from harecross.xds.loads import Loads
 from harecross.xds.server import certificate_names
 
 LRS = "envoy.service.load_stats.v3.LoadReportingService"
 
 
+class Account(Protocol):
+    """Where a cluster's reports go: `loads.Loads`, or on to the service."""
+
+    def add(self, proxy: str, server: str, good: int, bad: int, in_progress: int, seconds: float) -> None: ...
+
+
 def handler(
-    loads: Callable[[str], Loads | None],
+    loads: Callable[[str], Account | None],
     see: Callable[[tuple[str, ...]], frozenset[str] | None],
     interval_s: float,
 ) -> Any:
--- a/harecross/xds/press.py
+++ b/harecross/xds/press.py
@@ -8,6 +8,7 @@
 from harecross.core.host import guard
 from harecross.core.servers import clock
 from harecross.xds.feed import Feed
+from harecross.xds.fleet import Fleet
 from harecross.xds.publish import Publisher, Told, calls_out
 from harecross.xds.release import Release
 from harecross.xds.resources import Encoder, Published
@@ -20,7 +21,7 @@
 class Press:
     """Publishes the feeds' views through one Control."""
 
-    def __init__(self, control: Control, encoder: Encoder, interval_s: float) -> None:
+    def __init__(self, control: Control | Fleet, encoder: Encoder, interval_s: float) -> None:
         self.control = control
         self.encoder = encoder
         self.release = Release(int(interval_s * 1e6))
@@ -105,7 +106,7 @@
             told = Told(None)
         else:
             views, own = feed.views()
-            each, proxies = self.each[name], len(self.control.proxies)
+            each, proxies = self.each[name], self.control.count()
             limit = calls_out(views, own, 2) if each is None else calls_out(views, each, proxies)
             told = self.publishers[name].tell(clock(), views, limit, self.prices[name])
         before = self.told.get(name)
--- a/harecross/xds/server.py
+++ b/harecross/xds/server.py
@@ -101,8 +101,8 @@
 
     # ---- start and stop -------------------------------------------------------------------------------
 
-    async def start(self, address: str, credentials: Any = None) -> int:
-        """Listens; the port. OSError if it cannot."""
+    async def start(self, address: str, credentials: Any = None, shared: bool = False) -> int:
+        """Listens; the port. OSError if it cannot. `shared` with other processes, each gets some connections."""
         self.server = grpc.aio.server(
             options=[
                 ("grpc.max_receive_message_length", self.limits.message_bytes),
@@ -111,7 +111,7 @@
                 ("grpc.keepalive_permit_without_calls", 1),
                 ("grpc.http2.max_pings_without_data", 0),
                 ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
-                ("grpc.so_reuseport", 0),
+                ("grpc.so_reuseport", int(shared)),
             ]
         )
         self.server.add_generic_rpc_handlers((*self.handlers(), *self.more))
@@ -155,6 +155,10 @@
             found.append(of(service, {**methods, f"Fetch{name}": fetch(type_url)}))
         return found
 
+    def count(self) -> int:
+        """Streams that are open."""
+        return len(self.proxies)
+
     # ---- what is published ----------------------------------------------------------------------------
 
     def publish(self, source: Source, urgent: Collection[str] = ()) -> None:
@@ -173,6 +177,8 @@
 
     def refresh(self) -> None:
         """What proxies may see has changed."""
+        for proxy in self.proxies:
+            proxy.allowed = self.see(proxy.names)
         if self.source is not None:
             self.publish(self.source)
 
--- a/harecross/xds/service.py
+++ b/harecross/xds/service.py
@@ -9,12 +9,16 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from harecross.core.host import say
 from harecross.operators import BadFile
 from harecross.xds import lrs, status
-from harecross.xds.access import allowed
+from harecross.xds.access import allowed, fits
 from harecross.xds.config import ControlFile, read_control
 from harecross.xds.feed import OwnFeed
+from harecross.xds.fleet import Fleet
+from harecross.xds.link import Setup
 from harecross.xds.press import Press
 from harecross.xds.resources import Encoder
 from harecross.xds.server import Control, Limits
@@ -31,11 +35,21 @@
         self.told = told
         self.seed = seed
         c = told.control
-        limits = Limits(told.limits.streams, told.limits.subscriptions, told.limits.message_bytes)
-        self.control = Control(limits, self.see, say)
-        self.control.more.append(status.handler(self.control, self.may_ask))
-        if c.load_reports_s:
-            self.control.more.append(lrs.handler(self.loads, self.see, c.load_reports_s))
+        limits = msgspec.structs.asdict(told.limits)
+        self.control: Control | Fleet
+        if c.workers > 1:
+            tls = msgspec.structs.asdict(told.tls) if told.tls is not None else None
+            setup = Setup(
+                c.listen, tls, limits, told.clients, c.status, c.adaptive_concurrency, c.load_reports_s
+            )
+            self.control = Fleet(c.workers, setup, self.loads, say)
+        else:
+            self.control = control = Control(Limits(**limits), self.see, say)
+            control.more.append(
+                status.handler(self.rows, lambda names: fits(self.told.control.status, names))
+            )
+            if c.load_reports_s:
+                control.more.append(lrs.handler(self.loads, self.see, c.load_reports_s))
         self.press = Press(self.control, Encoder(c.adaptive_concurrency, c.load_reports_s > 0), c.interval_s)
         self.press.every_step = self.every_step
         self.stop = asyncio.Event()
@@ -48,9 +62,9 @@
     def see(self, names: tuple[str, ...]) -> frozenset[str] | None:
         return allowed(self.told.clients, names)
 
-    def may_ask(self, names: tuple[str, ...]) -> bool:
-        patterns = self.told.control.status
-        return "*" in patterns or bool(allowed(dict.fromkeys(patterns, ("status",)), names))
+    async def rows(self) -> list[dict[str, Any]]:
+        assert isinstance(self.control, Control)
+        return status.status_table(self.control)
 
     def loads(self, cluster: str) -> Any:
         feed = self.press.feeds.get(cluster)
@@ -66,8 +80,11 @@
         for name in self.told.clusters:
             self.begin(name, memory.get(name))
         try:
-            secure = credentials(self.told.tls, say) if self.told.tls is not None else None
-            port = await self.control.start(self.told.control.listen, secure)
+            if isinstance(self.control, Fleet):
+                port = await self.control.start()
+            else:
+                secure = credentials(self.told.tls, say) if self.told.tls is not None else None
+                port = await self.control.start(self.told.control.listen, secure)
         except (OSError, ValueError) as e:
             raise BadFile(f"{self.path}: control.listen: {e}") from None
         self.until = loop.time() + self.told.control.wait_s
@@ -163,9 +180,10 @@
                 self.press.feeds[name].close()
             self.begin(name, memory)
         if old.clients != told.clients:
-            for proxy in self.control.proxies:
-                proxy.allowed = self.see(proxy.names)
-            self.control.refresh()
+            if isinstance(self.control, Fleet):
+                self.control.allow(told.clients)
+            else:
+                self.control.refresh()
         text = f"control: configuration read again: {len(fresh)} clusters new or changed, {len(gone)} gone"
         if (old.control, old.tls, old.limits) != (told.control, told.tls, told.limits):
             text += "; control, tls and limits will count from the next start"
--- a/harecross/xds/status.py
+++ b/harecross/xds/status.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
 import grpc
@@ -44,10 +44,10 @@
     return int(csds_pb2.SYNCED if state["acked"] == state["sent"] else csds_pb2.STALE)
 
 
-def client_status(control: Control) -> Any:
+def client_status(rows: list[dict[str, Any]]) -> Any:
     """The whole answer of CSDS. What the message has no field for stands in the node's metadata."""
     response = csds_pb2.ClientStatusResponse()
-    for row in status_table(control):
+    for row in rows:
         c = response.config.add()
         c.node.id = row["node"]
         c.node.locality.zone = row["zone"]
@@ -64,17 +64,17 @@
     return response
 
 
-def handler(control: Control, may: Any) -> Any:
-    """The service's handler; `may` tells by certificate names who may ask."""
+def handler(rows: Callable[[], Awaitable[list[dict[str, Any]]]], may: Any) -> Any:
+    """The service's handler; `rows` gives the table, `may` tells by certificate names who may ask."""
 
     async def fetch(request: Any, context: Any) -> bytes:
         await checked(context)
-        return bytes(client_status(control).SerializeToString())
+        return bytes(client_status(await rows()).SerializeToString())
 
     async def stream(requests: AsyncIterator[Any], context: Any) -> None:
         await checked(context)
         async for _ in requests:
-            await context.write(client_status(control).SerializeToString())
+            await context.write(client_status(await rows()).SerializeToString())
 
     async def checked(context: Any) -> None:
         from harecross.xds.server import certificate_names
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -293,6 +293,94 @@
     run(body())
 
 
+# ---- workers --------------------------------------------------------------------------------------------
+
+
+def test_workers_share_the_streams_and_one_that_is_killed_is_replaced(tmp_path):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            catalog = await p.cluster("orders")
+            await p.cluster("stock", 2)
+            service = await p.serve(control="workers = 2\nload_reports_s = 0.1")
+            fleet = service.control
+            target = f"127.0.0.1:{fleet.port}"
+            alone = [("grpc.use_local_subchannel_pool", 1)]
+            channels = [grpc.aio.insecure_channel(target, options=alone) for _ in range(16)]
+            proxies = [XdsProxy(c, node=f"p{i}", delta=i % 2 == 1).start() for i, c in enumerate(channels)]
+            for x in proxies:
+                await x.until(lambda x: len(health(x)) == 3 and len(health(x, "stock")) == 2)
+            while fleet.count() < 16:
+                await asyncio.sleep(0.02)
+            assert all(m.streams.count for m in fleet.members), "one worker has them all"
+            # The status of one is the status of all, whichever worker is asked.
+            code, out = await command("control", "status", "--address", target, "--json", "-")
+            assert code == 0 and {r["node"] for r in json.loads(out)["proxies"]} == {
+                f"p{i}" for i in range(16)
+            }
+            told = asyncio.get_running_loop().time()
+            catalog.put(entry("orders0", p.servers["orders0"].address, "terminating"))
+            for x in proxies:
+                await x.until(lambda x: health(x)["orders0"] == DRAINING)
+            assert max(x.told_at["orders", "orders0", DRAINING] for x in proxies) - told < DRAIN_GRACE
+            # A worker dies while the list changes; its proxies come back, and all hold the newest.
+            seen: list[int] = []
+            for x in proxies:
+                x.on_response = lambda x, t, names: seen.append(
+                    len(health(x)) if "orders" in x.held[CLUSTER] else -1
+                )
+            dead = fleet.members[0].process
+            dead.kill()
+            catalog.put(entry("orders1", p.servers["orders1"].address, "terminating"))
+            for x in proxies:
+                await x.until(lambda x: health(x)["orders1"] == DRAINING)
+            while fleet.members[0].process is dead or fleet.count() < 16:
+                await asyncio.sleep(0.02)
+            assert set(seen) == {3}
+            # Another rule on clusters reaches the workers too.
+            p.path.write_text(text_of({"orders": catalog}, control="workers = 2\nload_reports_s = 0.1"))
+            os.kill(os.getpid(), signal.SIGHUP)
+            for x in proxies:
+                await x.until(lambda x: set(x.held[CLUSTER]) == {"orders"})
+            for x in proxies:
+                await x.stop()
+            for c in channels:
+                await c.close()
+
+    run(body())
+
+
+def test_workers_end_with_a_service_that_is_killed(tmp_path):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            await p.cluster("orders")
+            p.path.write_text(text_of(p.catalogs, control="workers = 2"))
+            service, port = await process(p.path)
+            service.kill()
+            await service.wait()
+            # The port is free once the last of them has gone.
+            while True:
+                try:
+                    (await asyncio.start_server(lambda r, w: None, "127.0.0.1", port)).close()
+                    break
+                except OSError:
+                    await asyncio.sleep(0.02)
+
+    run(body())
+
+
+def test_a_port_in_use_is_not_shared_without_a_word(tmp_path):
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            await p.cluster("orders")
+            first = await p.serve(control="workers = 2")
+            path = tmp_path / "second.toml"
+            path.write_text(p.path.read_text().replace("127.0.0.1:0", f"127.0.0.1:{first.control.port}"))
+            code, out = await command("control", "--config", path)
+            assert code == 2 and "control.listen" in out and "in use" in out
+
+    run(body())
+
+
 # ---- the four rules, counted at the servers -------------------------------------------------------------
 
 
@@ -354,13 +442,14 @@
 # ---- load reports ---------------------------------------------------------------------------------------
 
 
-def test_what_most_proxies_report_ejects_a_server_that_answers_its_probes(tmp_path):
+@pytest.mark.parametrize("workers", [1, 2])
+def test_what_most_proxies_report_ejects_a_server_that_answers_its_probes(tmp_path, workers):
     from envoy.service.load_stats.v3 import lrs_pb2
 
     async def body() -> None:
         async with place(tmp_path) as p:
             await p.cluster("orders", 5)
-            await p.serve(control="load_reports_s = 0.1")
+            await p.serve(control=f"load_reports_s = 0.1\nworkers = {workers}")
             proxy = XdsProxy(p.channel).start()
             await proxy.until(lambda x: len(health(x)) == 5)
 
@@ -452,7 +541,8 @@
 # ---- security -------------------------------------------------------------------------------------------
 
 
-def test_clients_see_what_their_certificate_allows_and_new_files_count_without_a_restart(tmp_path):
+@pytest.mark.parametrize("workers", [1, 2])
+def test_clients_see_what_their_certificate_allows_and_new_files_count_without_a_restart(tmp_path, workers):
     trustme = pytest.importorskip("trustme")
 
     async def body() -> None:
@@ -481,7 +571,7 @@
             files = "\n".join(f'{k} = "{tmp_path / f}"' for k, f in named)
             await p.serve(
                 more=f'[tls]\n{files}\n[clients]\n"*.partner.example" = ["orders"]\n"edge.example" = ["*"]',
-                control='status = ["edge.example"]',
+                control=f'status = ["edge.example"]\nworkers = {workers}',
             )
 
             async def sees(ca, name: str | None) -> set[str] | str:
