Proxies that read nothing are given no more turns; tests for what survived a mutation

Fourteen faults put into the code one by one: two went unnoticed, a stale request's names and the turns. The new test for turns, with twenty proxies that do not read and all the time in the world, found a real fault: each publication gave a stuck proxy another turn, which it kept, and a proxy that came new was never served. All fourteen are noticed now. console.py no longer needs polars: a fresh installation with the extra xds alone had no control status.

--- a/harecross/console.py
+++ b/harecross/console.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from rich.console import Console
 from rich.table import Table
 
 from harecross.replay.account import End
-from harecross.replay.run import Run
+
+if TYPE_CHECKING:
+    from harecross.replay.run import Run
 
 # A pipe has no width: 80 columns would cut the tables.
 out = Console(width=None if Console().is_terminal else 120)
--- a/harecross/xds/server.py
+++ b/harecross/xds/server.py
@@ -70,6 +70,7 @@
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     turn: bool = False
     lined: bool = False
+    stuck: bool = False  # a response has stood unread for longer than a turn
     gone: bool = False
     begun: bool = False
 
@@ -211,7 +212,8 @@
         while self.turns < TURNS and self.line:
             proxy = self.line.popleft()
             proxy.lined = False
-            if not proxy.gone and not proxy.turn:
+            # Guards against: proxies that read nothing are given turn after turn, and no one else has any.
+            if not (proxy.gone or proxy.turn or proxy.stuck):
                 self.turns += 1
                 proxy.turn = True
                 proxy.wake.set()
@@ -222,6 +224,11 @@
             self.turns -= 1
             self.give_turns()
 
+    def too_long(self, proxy: Proxy) -> None:
+        """The proxy reads slowly, or not at all: the others go on."""
+        proxy.stuck = True
+        self.turn_over(proxy)
+
     # ---- one stream -----------------------------------------------------------------------------------
 
     async def admitted(self, context: Any, delta: bool) -> Proxy:
@@ -320,15 +327,15 @@
                 raise Unread("responses are left without their ACK")
             text = encode(response)
             self.bytes_sent += len(text)
-            late = loop.call_later(TURN_MOST, self.turn_over, proxy) if proxy.turn else None
+            late = loop.call_later(TURN_MOST, self.too_long, proxy)
             try:
                 async with asyncio.timeout(UNREAD_MOST):
                     await context.write(text)
             except TimeoutError:
                 raise Unread("responses are left unread") from None
             finally:
-                if late is not None:
-                    late.cancel()
+                late.cancel()
+                proxy.stuck = False
             if proxy.turn:
                 # To the end of the line: those that are owed little are not kept waiting by those owed much.
                 self.turn_over(proxy)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -105,6 +105,9 @@
         "polars",
         "numpy",
         "hdrh",
+        "grpc",
+        "envoy",
+        "harecross.xds",
         "harecross.operators",
         "harecross.standins",
     ):
@@ -184,3 +187,35 @@
     assert done.returncode == 0, done.stderr
     for text in ("latest", "log-reading", "service", "slow s0 x8", "drain s1"):
         assert text in done.stdout
+
+
+def test_the_control_service_needs_its_own_extra_alone():
+    """What the extra `xds` does not install, a fresh installation does not have."""
+    text = (
+        "import sys, harecross.cli, harecross.console, harecross.xds.service, harecross.xds.ask, harecross.xds.worker; "
+        "print([m for m in ('polars', 'numpy', 'zstandard', 'trustme', 'pytest') if m in sys.modules])"
+    )
+    pytest.importorskip("grpc")
+    done = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, timeout=60)
+    assert done.stdout == "[]\n", done.stderr
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("[xds]\nlisten = '0.0.0.0:1'\n", "xds.listen: '0.0.0.0:1' is not loopback"),
+        ("[xds]\nlisten = 'here'\n", "xds.listen: 'here' is not HOST:PORT"),
+        ("[xds]\nlisten = '127.0.0.1:0'\nplaintext = 'yes'\n", "`$.xds.plaintext`"),
+    ],
+)
+def test_a_listener_in_the_node_that_cannot_be_is_one_line(tmp_path, monkeypatch, text, says):
+    from harecross.node.__main__ import from_operators
+    from harecross.node.config import BadConfig
+
+    pytest.importorskip("grpc")
+    path = tmp_path / "h.toml"
+    path.write_text(text)
+    monkeypatch.setenv("HARECROSS_CONFIG", str(path))
+    with pytest.raises(BadConfig) as e:
+        from_operators()
+    assert says in str(e.value) and str(path) in str(e.value)
--- a/tests/test_xds_server.py
+++ b/tests/test_xds_server.py
@@ -158,29 +158,55 @@
     run(body())
 
 
+MANY = [f"127.0.0.1:{i + 1}" for i in range(3000)]
+
+
 @VARIANTS
-def test_a_proxy_that_does_not_read_is_let_go_and_keeps_no_other_waiting(delta, monkeypatch):
-    monkeypatch.setattr(front, "UNREAD_MOST", 0.5)
-    many = [f"127.0.0.1:{i + 1}" for i in range(3000)]
+def test_proxies_that_do_not_read_keep_no_other_waiting(delta, monkeypatch):
+    monkeypatch.setattr(front, "UNREAD_MOST", 600.0)
 
     async def body() -> None:
-        control, address = await started(of(many))
+        control, address = await started(of(MANY))
         async with grpc.aio.insecure_channel(address) as stuck, grpc.aio.insecure_channel(address) as fine:
             lazy = [
                 XdsProxy(stuck, ["svc"], delta, f"lazy{i}") for i in range(20)
             ]  # more than there are turns
-            good = XdsProxy(fine, ["svc"], delta, "good").start()
             for p in lazy:
                 p.reading.clear()
                 p.start()
+            weight = 0
+            while sum(p.stuck for p in control.proxies) <= front.TURNS:
+                weight += 1
+                control.publish(of(MANY, weights={0: weight}))
+                await asyncio.sleep(0.02)
+            # They would hold all turns for ten minutes; another one is served all the same.
+            good = XdsProxy(fine, ["svc"], delta, "good").start()
             await good.until(lambda p: len(p.endpoints("svc")) == 3000)
+            assert control.let_go == 0
+            await gathered(good, *lazy)
+        await control.stop()
+
+    run(body())
+
+
+@VARIANTS
+def test_a_proxy_that_does_not_read_is_let_go(delta, monkeypatch):
+    monkeypatch.setattr(front, "UNREAD_MOST", 0.3)
+
+    async def body() -> None:
+        control, address = await started(of(MANY))
+        async with grpc.aio.insecure_channel(address) as stuck, grpc.aio.insecure_channel(address) as fine:
+            lazy = XdsProxy(stuck, ["svc"], delta, "lazy")
+            lazy.reading.clear()
+            lazy.start()
+            good = XdsProxy(fine, ["svc"], delta, "good").start()
             weight = 0
-            while control.let_go < 20:
+            while not control.let_go:
                 weight += 1
-                control.publish(of(many, weights={0: weight}))
-                await good.until(lambda p, w=weight: p.endpoints("svc")[0].weight == w)
+                control.publish(of(MANY, weights={0: weight}))
+                await good.until(lambda p, w=weight: len(e := p.endpoints("svc")) > 0 and e[0].weight == w)
             assert {p.node for p in control.proxies} == {"good"}
-            await gathered(good, *lazy)
+            await gathered(good, lazy)
         await control.stop()
 
     run(body())
--- a/tests/test_xds_streams.py
+++ b/tests/test_xds_streams.py
@@ -96,6 +96,17 @@
     assert only(asked(SotwStream(snapshot()), CDS, "", [])).resources == []
 
 
+def test_what_a_stale_request_left_out_and_the_newest_names_again_is_sent_again():
+    s = SotwStream(snapshot(eds={"a": "e1", "b": "f1"}))
+    first = only(asked(s, EDS, "", ["a", "b"]))
+    second = only(pushed(s, snapshot(eds={"a": "e2", "b": "f1"})))
+    # The proxy lets go of b before it has read the second response, and wants it again after.
+    assert asked(s, EDS, first.nonce, ["a"]) == []
+    again = only(asked(s, EDS, second.nonce, ["a", "b"]))
+    assert [r.name for r in again.resources] == ["b"]
+    assert asked(s, EDS, again.nonce, ["a", "b"]) == []
+
+
 def test_a_nonce_of_an_earlier_stream_is_a_first_request():
     """A proxy that reconnects in mid-update, to this service or to another one with the same content."""
     old = SotwStream(A1)
