A dead peer is found by its unanswered ping after 5 s, not a minute

grpcio's keepalive_timeout_ms does not bound the wait for a ping's answer: ping_timeout_ms does, and its default is a minute. Tests also for the bound on a request's size, and for rules on clients that change while streams are open.

--- a/harecross/xds/server.py
+++ b/harecross/xds/server.py
@@ -110,6 +110,7 @@
                 ("grpc.keepalive_time_ms", KEEPALIVE_MS),
                 ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
                 ("grpc.keepalive_permit_without_calls", 1),
+                ("grpc.http2.ping_timeout_ms", KEEPALIVE_TIMEOUT_MS),
                 ("grpc.http2.max_pings_without_data", 0),
                 ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_MS // 2),
                 ("grpc.so_reuseport", int(shared)),
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -588,6 +588,18 @@
             assert await sees(ours, "nobody.example") == "PERMISSION_DENIED"
             assert await sees(ours, None) == "UNAVAILABLE"
             assert await sees(theirs, "edge.example") == "UNAVAILABLE"
+            # Other rules reach the streams that are open.
+            rules = p.path.read_text()
+            async with channel(ours, "edge.example") as c:
+                open_one = XdsProxy(c).start()
+                await open_one.until(lambda x: len(x.held[CLUSTER]) == 2)
+                p.path.write_text(rules.replace('"edge.example" = ["*"]', '"edge.example" = ["stock"]'))
+                os.kill(os.getpid(), signal.SIGHUP)
+                await open_one.until(lambda x: set(x.held[CLUSTER]) == {"stock"})
+                p.path.write_text(rules)
+                os.kill(os.getpid(), signal.SIGHUP)
+                await open_one.until(lambda x: len(x.held[CLUSTER]) == 2 and open_one.streams == 1)
+                await open_one.stop()
             put(theirs)
             assert await sees(theirs, "edge.example") == {"orders", "stock"}
             assert await sees(ours, "edge.example") == "UNAVAILABLE"
--- a/tests/test_xds_server.py
+++ b/tests/test_xds_server.py
@@ -342,7 +342,7 @@
 
 def test_the_bounds_on_streams_and_subscriptions_hold():
     async def body() -> None:
-        control = Control(Limits(streams=2, subscriptions=3))
+        control = Control(Limits(streams=2, subscriptions=3, message_bytes=1024))
         address = f"127.0.0.1:{await control.start('127.0.0.1:0')}"
         control.publish(of(HERE))
         async with grpc.aio.insecure_channel(address) as channel:
@@ -350,6 +350,12 @@
             await greedy.until(lambda p: p.error is not None)
             assert "more than 3 subscriptions" in greedy.error.details()
             await gathered(greedy)
+            while control.proxies:
+                await asyncio.sleep(0.005)
+            large = XdsProxy(channel, ["x" * 2000], types=(ASSIGNMENT,)).start()
+            await large.until(lambda p: p.error is not None)
+            assert large.error.code() == grpc.StatusCode.RESOURCE_EXHAUSTED
+            await gathered(large)
             while control.proxies:
                 await asyncio.sleep(0.005)
             two = [XdsProxy(channel).start() for _ in range(2)]
@@ -364,6 +370,49 @@
     run(body())
 
 
+def test_a_peer_that_has_gone_without_a_word_is_found_by_its_pings(monkeypatch):
+    """A machine cut off: the connection stays open and nothing comes through it."""
+    monkeypatch.setattr(front, "KEEPALIVE_MS", 1000)
+    monkeypatch.setattr(front, "KEEPALIVE_TIMEOUT_MS", 500)
+
+    async def body() -> None:
+        control, address = await started(of(HERE))
+        port = int(address.rpartition(":")[2])
+        through = asyncio.Event()
+        through.set()
+        writers = []
+
+        async def pipe(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(65536):
+                await through.wait()
+                writer.write(data)
+
+        async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            there = await asyncio.open_connection("127.0.0.1", port)
+            writers.extend((writer, there[1]))
+            await asyncio.gather(pipe(reader, there[1]), pipe(there[0], writer), return_exceptions=True)
+
+        between = await asyncio.start_server(relay, "127.0.0.1", 0)
+        cut_off = f"127.0.0.1:{between.sockets[0].getsockname()[1]}"
+        async with grpc.aio.insecure_channel(cut_off) as channel, grpc.aio.insecure_channel(address) as fine:
+            gone, good = XdsProxy(channel, node="gone").start(), XdsProxy(fine, node="good").start()
+            for p in (gone, good):
+                await p.until(lambda p: len(p.endpoints("svc")) == 2)
+            through.clear()
+            while {p.node for p in control.proxies} != {"good"}:
+                await asyncio.sleep(0.01)
+            control.publish(of(HERE, drained=(0,)), urgent={"svc"})
+            await good.until(lambda p: any(t.health == DRAINING for t in p.endpoints("svc")))
+            through.set()
+            await gathered(gone, good)
+        between.close()
+        for w in writers:
+            w.close()
+        await control.stop()
+
+    run(body())
+
+
 def test_a_proxy_prefers_its_own_zone_where_crossing_has_a_price():
     async def body() -> None:
         told = Told(
