HOST:PORT is read in one place

The node's configuration, the control service's, a feed and the fleet each took an address apart by themselves. All four call settings.address now; messages and bounds are the same. A field of OwnFeed that nothing read is gone.

--- a/harecross/node/config.py
+++ b/harecross/node/config.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from harecross.interface import Settings
-from harecross.settings import Table, settings_from
+from harecross.settings import Table, address, settings_from
 
 
 class BadConfig(Exception):
@@ -41,10 +41,10 @@
     value = raw.get(key)
     if not isinstance(value, str):
         raise BadConfig(f"{key} is not set")
-    host, _, port = value.rpartition(":")
-    if not host or not (port.isascii() and port.isdecimal()) or int(port) > 65535:
-        raise BadConfig(f"{key}: {value!r} is not an address")
-    return host, int(port)
+    try:
+        return address(value)
+    except ValueError:
+        raise BadConfig(f"{key}: {value!r} is not an address") from None
 
 
 def config_from(raw: Any) -> Config:
--- a/harecross/settings.py
+++ b/harecross/settings.py
@@ -20,6 +20,14 @@
 }
 
 
+def address(text: str) -> tuple[str, int]:
+    """HOST:PORT. ValueError for anything else."""
+    host, _, port = text.rpartition(":")
+    if not host or not (port.isascii() and port.isdecimal()) or int(port) > 65535:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host, int(port)
+
+
 class SettingsError(ValueError):
     """Text that is not a settings object."""
 
--- a/harecross/xds/config.py
+++ b/harecross/xds/config.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from harecross.operators import BadFile, read_toml
+from harecross.settings import address
 from harecross.xds.access import loopback
 
 Seconds = Annotated[float, msgspec.Meta(ge=0.01, le=3600)]
@@ -78,14 +79,6 @@
     clients: dict[str, tuple[str, ...]] = {}
 
 
-def address(text: str) -> tuple[str, int]:
-    """HOST:PORT. ValueError for anything else."""
-    host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdecimal()) or int(port) > 65535:
-        raise ValueError(f"{text!r} is not HOST:PORT")
-    return host, int(port)
-
-
 def listen_address(text: str, anywhere: bool) -> tuple[str, int]:
     """Where to listen without TLS. ValueError beyond loopback, unless that is allowed."""
     host, port = address(text)
--- a/harecross/xds/feed.py
+++ b/harecross/xds/feed.py
@@ -11,8 +11,8 @@
 from harecross.core.host import Host, guard, say
 from harecross.core.servers import Exchange, Servers, clock
 from harecross.interface import ClassSettings, Effect, Outcome, Settings
-from harecross.settings import COLUMNS
-from harecross.xds.config import ClusterTable, address
+from harecross.settings import COLUMNS, address
+from harecross.xds.config import ClusterTable
 from harecross.xds.loads import Loads
 from harecross.xds.probes import Schedule
 from harecross.xds.publish import ServerView
@@ -46,8 +46,10 @@
         limits = [v.limit for v in seen.values()]
         views = []
         for name, line in self.roster.lines.items():
-            host, _, port = str(line.get("hostPort", "")).rpartition(":")
-            if not host or not (port.isascii() and port.isdecimal()) or int(port) > 65535:
+            where = str(line.get("hostPort", ""))
+            try:
+                address(where)
+            except ValueError:
                 continue  # the directory has said so in the log
             draining = line["lifecycle"] != "in_service"
             number = self.directory.numbers.get(name, 0)
@@ -56,9 +58,9 @@
             v = seen.get(number)
             zone = str(line.get("zone", ""))
             if v is None or draining:
-                views.append(ServerView(name, f"{host}:{port}", zone, draining))
+                views.append(ServerView(name, where, zone, draining))
             else:
-                views.append(ServerView(name, f"{host}:{port}", zone, False, v.ejected, v.warmth, v.cost))
+                views.append(ServerView(name, where, zone, False, v.ejected, v.warmth, v.cost))
         return views, max(limits, default=0.0)
 
     def take_loads(self) -> None:
@@ -109,7 +111,6 @@
         self.discovery = Discovery(self.directory, address(told.discovery), False)
         self.schedule = Schedule(int(told.probe.interval_s * 1e6), Random(f"{seed}/{name}"))
         self.tasks: set[asyncio.Task[None]] = set()
-        self.clearing = 0
 
     def start(self, memory: Any = None) -> None:
         """Begins with a remembered list, which counts as old, and watches discovery."""
--- a/harecross/xds/fleet.py
+++ b/harecross/xds/fleet.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from harecross.settings import address
 from harecross.xds.link import (
     Ask,
     Clients,
@@ -70,15 +71,14 @@
 
     async def start(self) -> int:
         """All workers listen; the port. OSError if they cannot."""
-        host, _, port = self.setup.listen.rpartition(":")
+        host, port = address(self.setup.listen)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         with socket.socket(family) as probe:
             # Guards against: another program's port, shared with it without a word.
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            probe.bind((host.strip("[]"), int(port)))
-            port = str(probe.getsockname()[1])
-        self.setup = msgspec.structs.replace(self.setup, listen=f"{host}:{port}")
-        self.port = int(port)
+            probe.bind((host.strip("[]"), port))
+            self.port = probe.getsockname()[1]
+        self.setup = msgspec.structs.replace(self.setup, listen=f"{host}:{self.port}")
         try:
             await asyncio.gather(*(self.begin(m) for m in self.members))
         except BaseException:
