A control service's front is put together in one place, for one process and for workers

Service and Worker each wired status, load reports, credentials and encoder by themselves, Limits stood twice with the same defaults, ADS and LRS each turned unknown certificates away, and a Fleet kept the clients' rules beside those in its Setup. front.py, config.Limits and server.identified serve both; Setup carries the tables themselves. status no longer imports within a call; a field of Streams that nobody read is gone.

--- a/benchmarks/xds_fanout.py
+++ b/benchmarks/xds_fanout.py
@@ -27,6 +27,7 @@
 
 from harecross.standins.xds import ASSIGNMENT, DRAINING, XdsProxy
 from harecross.xds.cache import EDS
+from harecross.xds.config import Limits
 from harecross.xds.fleet import Fleet
 from harecross.xds.link import Setup
 from harecross.xds.publish import Endpoint, Health, Told
@@ -109,7 +110,7 @@
         board = Board(clusters, endpoints, 1)
         control: Control | Fleet
         if workers > 1:
-            setup = Setup("127.0.0.1:0", None, {}, {}, ("*",), False, 0.0)
+            setup = Setup("127.0.0.1:0", None, Limits(), {}, ("*",), False, 0.0)
             control = Fleet(workers, setup, lambda name: None, print)
             port = await control.start()
             pids = [os.getpid(), *(m.process.pid for m in control.members if m.process is not None)]
--- a/harecross/xds/config.py
+++ b/harecross/xds/config.py
@@ -41,12 +41,12 @@
     client_ca: str = ""  # with it, clients must show a certificate
 
 
-class LimitsTable(Strict, frozen=True):
-    """`[limits]`."""
+class Limits(Strict, frozen=True):
+    """`[limits]`: bounds on what clients may do to the service."""
 
     streams: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 5000
-    subscriptions: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 10_000
-    message_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 26)] = 1 << 20
+    subscriptions: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 10_000  # of one stream and type
+    message_bytes: Annotated[int, msgspec.Meta(ge=1024, le=1 << 26)] = 1 << 20  # of one request
 
 
 class ProbeTable(Strict, frozen=True):
@@ -75,7 +75,7 @@
     clusters: dict[str, ClusterTable]
     control: ControlTable = ControlTable()
     tls: TlsTable | None = None
-    limits: LimitsTable = LimitsTable()
+    limits: Limits = Limits()
     clients: dict[str, tuple[str, ...]] = {}
 
 
--- a/harecross/xds/fleet.py
+++ b/harecross/xds/fleet.py
@@ -43,7 +43,7 @@
     def __init__(self) -> None:
         self.link: Link | None = None
         self.process: asyncio.subprocess.Process | None = None
-        self.streams = Streams(0, 0, 0)
+        self.streams = Streams(0, 0)
 
 
 class Fleet:
@@ -58,7 +58,6 @@
         self.members = [Member() for _ in range(size)]
         self.told: dict[str, Told] = {}
         self.known = False
-        self.rules = setup.clients
         self.port = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.waiting: dict[int, tuple[Member, int, set[int], list[dict[str, Any]]]] = {}
@@ -109,8 +108,6 @@
             raise OSError(f"{self.setup.listen}: a worker did not start") from None
         if not isinstance(answer, Listening) or answer.error:
             raise OSError(answer.error if isinstance(answer, Listening) else "a worker answered out of turn")
-        if self.rules != self.setup.clients:
-            member.link.send(Clients(self.rules))
         if self.known:
             member.link.send(Publish(self.told, (), ()))
 
@@ -137,7 +134,7 @@
         if member.link is not None:
             member.link.writer.close()
         member.link = None
-        member.streams = Streams(0, 0, 0)
+        member.streams = Streams(0, 0)
         for number, (_, _, missing, _) in list(self.waiting.items()):
             missing.discard(self.members.index(member))
             self.answer(number)
@@ -174,7 +171,7 @@
 
     def allow(self, rules: dict[str, tuple[str, ...]]) -> None:
         """Other rules on who may see what."""
-        self.rules = rules
+        self.setup = msgspec.structs.replace(self.setup, clients=rules)
         for m in self.members:
             if m.link is not None:
                 m.link.send(Clients(rules))
--- a/harecross/xds/inside.py
+++ b/harecross/xds/inside.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 from harecross.core.discovery import Directory
 from harecross.core.host import Host, say
 from harecross.xds.feed import Feed
 from harecross.xds.press import Press
 from harecross.xds.resources import Encoder
 from harecross.xds.server import Control
-from harecross.xds.status import handler, status_table
+from harecross.xds.status import handler, rows_of
 
 
 class Inside:
@@ -21,23 +19,22 @@
         self.cluster = cluster
         self.interval_s = interval_s
         self.control = Control(log=say)
-        self.control.more.append(handler(self.rows, lambda names: True))
+        self.control.more.append(handler(rows_of(self.control), lambda names: True))
         self.press: Press | None = None
 
     async def start(self, host: Host, directory: Directory) -> None:
         """OSError if it cannot listen."""
         self.press = press = Press(self.control, Encoder(), self.interval_s)
         press.add(Feed(self.cluster, host, directory, press.changed), host.settings.cross_zone_price, None)
-        # Nothing is known before the node's first list; proxies wait for it.
-        press.every_step = lambda: setattr(
-            press, "open", press.open or press.feeds[self.cluster].roster.known()
-        )
+        press.every_step = self.open_when_known
         await self.control.start(self.listen)
         say(f"xds: listening on port {self.control.port}, cluster {self.cluster}")
         press.start()
 
-    async def rows(self) -> list[dict[str, Any]]:
-        return status_table(self.control)
+    def open_when_known(self) -> None:
+        """Nothing is known before the node's first list; proxies wait for it."""
+        if self.press is not None and not self.press.open:
+            self.press.open = self.press.feeds[self.cluster].roster.known()
 
     async def stop(self) -> None:
         if self.press is not None:
--- a/harecross/xds/link.py
+++ b/harecross/xds/link.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from harecross.xds.config import Limits, TlsTable
 from harecross.xds.publish import Told
 
 
@@ -16,8 +17,8 @@
     """The first message to a worker: what it serves, and how."""
 
     listen: str
-    tls: dict[str, str] | None
-    limits: dict[str, int]
+    tls: TlsTable | None
+    limits: Limits
     clients: dict[str, tuple[str, ...]]
     status: tuple[str, ...]
     adaptive: bool
@@ -63,7 +64,6 @@
 
     count: int
     sent: int
-    let_go: int
 
 
 class Report(msgspec.Struct, frozen=True, tag="report"):
--- a/harecross/xds/lrs.py
+++ b/harecross/xds/lrs.py
@@ -8,7 +8,7 @@
 import grpc
 from envoy.service.load_stats.v3 import lrs_pb2
 
-from harecross.xds.server import certificate_names
+from harecross.xds.server import identified
 
 LRS = "envoy.service.load_stats.v3.LoadReportingService"
 
@@ -27,12 +27,7 @@
     """`loads` gives a cluster's account; a client's reports count for the clusters it may see."""
 
     async def run(requests: AsyncIterator[Any], context: Any) -> None:
-        names = certificate_names(context)
-        allowed = see(names)
-        if allowed is not None and not allowed:
-            await context.abort(
-                grpc.StatusCode.PERMISSION_DENIED, "no cluster may be seen by this certificate"
-            )
+        names, allowed = await identified(context, see)
         # One voice for each certificate or, without, each connection: a node may name itself as it likes.
         voice = names[0] if names else context.peer()
         asked = False
--- a/harecross/xds/server.py
+++ b/harecross/xds/server.py
@@ -18,6 +18,7 @@
 from envoy.service.discovery.v3 import discovery_pb2
 
 from harecross.xds.cache import CDS, EDS, LDS, RDS, Snapshot
+from harecross.xds.config import Limits
 from harecross.xds.streams import UNACKED_MOST, BadRequest, DeltaStream, Response, SotwStream
 from harecross.xds.wire import delta_bytes, sotw_bytes
 
@@ -42,15 +43,6 @@
     def for_zone(self, zone: str) -> Snapshot: ...
 
 
-@dataclass(frozen=True)
-class Limits:
-    """Bounds on what clients may do to the service."""
-
-    streams: int = 5000
-    subscriptions: int = 10_000  # of one stream and type
-    message_bytes: int = 1 << 20  # of one request
-
-
 class Unread(Exception):
     """A proxy that does not take what it is sent."""
 
@@ -236,13 +228,7 @@
         """The stream's proxy, once there is something to tell it. Aborts for one that may not come."""
         if len(self.proxies) >= self.limits.streams:
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, f"{self.limits.streams} streams are open")
-        names = certificate_names(context)
-        allowed = self.see(names)
-        if allowed is not None and not allowed:
-            self.log(f"xds: {context.peer()}: no cluster may be seen by {', '.join(names) or 'no name'}")
-            await context.abort(
-                grpc.StatusCode.PERMISSION_DENIED, "no cluster may be seen by this certificate"
-            )
+        names, allowed = await identified(context, self.see, self.log)
         # Guards against: a service that has just started tells every proxy that nothing exists.
         await self.known.wait()
         assert self.source is not None
@@ -364,3 +350,17 @@
     auth = context.auth_context()
     found = auth.get("x509_subject_alternative_name") or auth.get("x509_common_name") or ()
     return tuple(n.decode("utf-8", "replace") for n in found)
+
+
+async def identified(
+    context: Any,
+    see: Callable[[tuple[str, ...]], frozenset[str] | None],
+    log: Callable[[str], None] = lambda text: None,
+) -> tuple[tuple[str, ...], frozenset[str] | None]:
+    """The client's names and the clusters it may see, None for all. Aborts for one that may see none."""
+    names = certificate_names(context)
+    allowed = see(names)
+    if allowed is not None and not allowed:
+        log(f"xds: {context.peer()}: no cluster may be seen by {', '.join(names) or 'no name'}")
+        await context.abort(grpc.StatusCode.PERMISSION_DENIED, "no cluster may be seen by this certificate")
+    return names, allowed
--- a/harecross/xds/service.py
+++ b/harecross/xds/service.py
@@ -9,20 +9,16 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
 from harecross.core.host import say
 from harecross.operators import BadFile
-from harecross.xds import lrs, status
-from harecross.xds.access import allowed, fits
+from harecross.xds.access import allowed
 from harecross.xds.config import ControlFile, read_control
 from harecross.xds.feed import OwnFeed
 from harecross.xds.fleet import Fleet
+from harecross.xds.front import encoder, front, listen
 from harecross.xds.link import Setup
 from harecross.xds.press import Press
-from harecross.xds.resources import Encoder
-from harecross.xds.server import Control, Limits
-from harecross.xds.tls import credentials
+from harecross.xds.server import Control
 
 REMEMBER_EVERY = 1.0  # seconds between two writes of the remembered lists, at least
 
@@ -35,22 +31,15 @@
         self.told = told
         self.seed = seed
         c = told.control
-        limits = msgspec.structs.asdict(told.limits)
+        self.setup = Setup(
+            c.listen, told.tls, told.limits, told.clients, c.status, c.adaptive_concurrency, c.load_reports_s
+        )
         self.control: Control | Fleet
         if c.workers > 1:
-            tls = msgspec.structs.asdict(told.tls) if told.tls is not None else None
-            setup = Setup(
-                c.listen, tls, limits, told.clients, c.status, c.adaptive_concurrency, c.load_reports_s
-            )
-            self.control = Fleet(c.workers, setup, self.loads, say)
+            self.control = Fleet(c.workers, self.setup, self.loads, say)
         else:
-            self.control = control = Control(Limits(**limits), self.see, say)
-            control.more.append(
-                status.handler(self.rows, lambda names: fits(self.told.control.status, names))
-            )
-            if c.load_reports_s:
-                control.more.append(lrs.handler(self.loads, self.see, c.load_reports_s))
-        self.press = Press(self.control, Encoder(c.adaptive_concurrency, c.load_reports_s > 0), c.interval_s)
+            self.control = front(self.setup, self.see, self.loads)
+        self.press = Press(self.control, encoder(self.setup), c.interval_s)
         self.press.every_step = self.every_step
         self.stop = asyncio.Event()
         self.ready = asyncio.Event()
@@ -62,10 +51,6 @@
     def see(self, names: tuple[str, ...]) -> frozenset[str] | None:
         return allowed(self.told.clients, names)
 
-    async def rows(self) -> list[dict[str, Any]]:
-        assert isinstance(self.control, Control)
-        return status.status_table(self.control)
-
     def loads(self, cluster: str) -> Any:
         feed = self.press.feeds.get(cluster)
         return feed.loads if feed is not None else None
@@ -83,8 +68,7 @@
             if isinstance(self.control, Fleet):
                 port = await self.control.start()
             else:
-                secure = credentials(self.told.tls, say) if self.told.tls is not None else None
-                port = await self.control.start(self.told.control.listen, secure)
+                port = await listen(self.control, self.setup)
         except (OSError, ValueError) as e:
             raise BadFile(f"{self.path}: control.listen: {e}") from None
         self.until = loop.time() + self.told.control.wait_s
--- a/harecross/xds/status.py
+++ b/harecross/xds/status.py
@@ -7,13 +7,12 @@
 
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import grpc
 from envoy.service.status.v3 import csds_pb2
 
-if TYPE_CHECKING:
-    from harecross.xds.server import Control
+from harecross.xds.server import Control, certificate_names
 
 CSDS = "envoy.service.status.v3.ClientStatusDiscoveryService"
 
@@ -35,6 +34,15 @@
     ]  # fmt: skip
 
 
+def rows_of(control: Control) -> Callable[[], Awaitable[list[dict[str, Any]]]]:
+    """The table of one Control alone, for `handler`."""
+
+    async def rows() -> list[dict[str, Any]]:
+        return status_table(control)
+
+    return rows
+
+
 def config_status(state: dict[str, Any]) -> int:
     """`envoy.service.status.v3.ConfigStatus` of one type."""
     if not state["sent"]:
@@ -77,8 +85,6 @@
             await context.write(client_status(await rows()).SerializeToString())
 
     async def checked(context: Any) -> None:
-        from harecross.xds.server import certificate_names
-
         if not may(certificate_names(context)):
             await context.abort(grpc.StatusCode.PERMISSION_DENIED, "the status is not for this certificate")
 
--- a/harecross/xds/worker.py
+++ b/harecross/xds/worker.py
@@ -10,15 +10,13 @@
 from itertools import count
 from typing import Any
 
-from harecross.core.host import guard, say
-from harecross.xds import lrs, status
-from harecross.xds.access import allowed, fits
-from harecross.xds.config import TlsTable
+from harecross.core.host import guard
+from harecross.xds import status
+from harecross.xds.access import allowed
+from harecross.xds.front import encoder, front, listen
 from harecross.xds.link import Ask, Clients, Link, Listening, Message, Publish, Report, Rows, Setup, Streams
 from harecross.xds.publish import Told
-from harecross.xds.resources import Encoder, Published
-from harecross.xds.server import Control, Limits
-from harecross.xds.tls import credentials
+from harecross.xds.resources import Published
 
 COUNT_EVERY = 0.25  # seconds between two words on how many streams there are
 ANSWER = 5.0  # seconds that the other workers have for their rows
@@ -44,13 +42,10 @@
         self.told = told
         self.rules = told.clients
         self.clusters: dict[str, Told] = {}
-        self.encoder = Encoder(told.adaptive, told.load_reports_s > 0)
+        self.encoder = encoder(told)
         self.questions: dict[int, asyncio.Future[list[dict[str, Any]]]] = {}
         self.numbers = count(1)
-        self.control = Control(Limits(**told.limits), self.see, say)
-        self.control.more.append(status.handler(self.all_rows, lambda names: fits(told.status, names)))
-        if told.load_reports_s:
-            self.control.more.append(lrs.handler(self.account, self.see, told.load_reports_s))
+        self.control = front(told, self.see, self.account, self.all_rows)
 
     def see(self, names: tuple[str, ...]) -> frozenset[str] | None:
         return allowed(self.rules, names)
@@ -72,10 +67,10 @@
     async def run(self) -> None:
         """Until the service has gone or ends it."""
         try:
-            secure = credentials(TlsTable(**self.told.tls), say) if self.told.tls is not None else None
-            port = await self.control.start(self.told.listen, secure, shared=True)
+            port = await listen(self.control, self.told, shared=True)
         except (OSError, ValueError) as e:
             self.link.send(Listening(0, str(e)))
+            await self.link.writer.drain()
             return
         self.link.send(Listening(port))
         counting = asyncio.create_task(self.counting())
@@ -103,7 +98,7 @@
     async def counting(self) -> None:
         last: Streams | None = None
         while True:
-            now = Streams(self.control.count(), self.control.bytes_sent, self.control.let_go)
+            now = Streams(self.control.count(), self.control.bytes_sent)
             if now != last:
                 self.link.send(now)
             last = now
@@ -118,8 +113,6 @@
     told = await link.receive()
     assert isinstance(told, Setup)
     await Worker(link, told).run()
-    if link.writer.can_write_eof():
-        await link.writer.drain()
 
 
 def main() -> None:
