Reload: what counts from the next start does; a worker that starts late is ended

Two faults found on reading the change again. After a SIGHUP the service went by the new [control] in part, and rules on clients that came with a first [tls] counted at once: without certificates nobody has a name, so every proxy would have lost its clusters. The old tables stay until the next start; the new test fails on the old code. And a worker that took longer than 20 s to listen kept its link, was told nothing and held its proxies; its link is closed now.

--- a/harecross/xds/fleet.py
+++ b/harecross/xds/fleet.py
@@ -128,7 +128,9 @@
             try:
                 await self.begin(member)
             except OSError as e:
+                # Guards against: one that listens after all, was told nothing, and keeps its proxies waiting.
                 self.log(f"xds: worker: {e}")
+                self.lost(member)
 
     def lost(self, member: Member) -> None:
         if member.link is not None:
--- a/harecross/xds/service.py
+++ b/harecross/xds/service.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from harecross.core.host import say
 from harecross.operators import BadFile
 from harecross.xds.access import allowed
@@ -151,7 +153,15 @@
         except BadFile as e:
             say(f"control: configuration not changed: {e}")
             return
-        old, self.told = self.told, told
+        old, later = self.told, []
+        if (old.control, old.tls, old.limits) != (told.control, told.tls, told.limits):
+            later = ["control", "tls", "limits"]
+        # Guards against: rules that need the new [tls] take all clusters from clients that show no certificate.
+        clients = told.clients if old.tls == told.tls else old.clients
+        later += ["clients"] if clients != told.clients else []
+        self.told = told = msgspec.structs.replace(
+            told, control=old.control, tls=old.tls, limits=old.limits, clients=clients
+        )
         gone = old.clusters.keys() - told.clusters.keys()
         for name in gone:
             self.press.remove(name)
@@ -169,8 +179,8 @@
             else:
                 self.control.refresh()
         text = f"control: configuration read again: {len(fresh)} clusters new or changed, {len(gone)} gone"
-        if (old.control, old.tls, old.limits) != (told.control, told.tls, told.limits):
-            text += "; control, tls and limits will count from the next start"
+        if later:
+            text += f"; {', '.join(later)} will count from the next start"
         say(text)
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -293,6 +293,36 @@
     run(body())
 
 
+def test_rules_that_need_a_tls_not_there_yet_wait_for_the_next_start(tmp_path, capfd):
+    pytest.importorskip("trustme")
+    import trustme
+
+    async def body() -> None:
+        async with place(tmp_path) as p:
+            await p.cluster("orders")
+            service = await p.serve()
+            proxy = XdsProxy(p.channel).start()
+            await proxy.until(lambda x: len(health(x)) == 3)
+            ca = trustme.CA()
+            ca.cert_pem.write_to_path(tmp_path / "ca.pem")
+            files = "\n".join(f'{k} = "{tmp_path / "ca.pem"}"' for k in ("certificate", "key", "client_ca"))
+            rules = f'[tls]\n{files}\n[clients]\n"edge.example" = ["*"]\n[limits]\nstreams = 1'
+            p.path.write_text(text_of(p.catalogs, more=rules))
+            os.kill(os.getpid(), signal.SIGHUP)
+            said = ""
+            while "read again" not in said:
+                await asyncio.sleep(0.01)
+                said += capfd.readouterr().err
+            assert "control, tls, limits, clients will count from the next start" in said
+            assert service.told.tls is None and not service.told.clients
+            late = XdsProxy(p.channel).start()
+            await late.until(lambda x: len(health(x)) == 3)
+            await proxy.stop()
+            await late.stop()
+
+    run(body())
+
+
 # ---- workers --------------------------------------------------------------------------------------------
 
 
