--- a/harecross/xds/resources.py
+++ b/harecross/xds/resources.py
@@ -171,10 +171,3 @@
         if zone not in self.zones:
             self.zones[zone] = self.encoder.snapshot(self.clusters, zone)
         return self.zones[zone]
-
-
-def snapshot(clusters: Mapping[str, tuple[Sequence[Endpoint], int]]) -> Snapshot:
-    """Everything of all clusters, each with its endpoints and the limit on calls out."""
-    return Encoder().snapshot(
-        {n: Told(tuple(endpoints), limit) for n, (endpoints, limit) in clusters.items()}
-    )
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -32,11 +32,13 @@
 UNHEALTHY = 2
 
 
-def text_of(catalogs: dict[str, Catalog], more: str = "", control: str = "", cluster: str = "") -> str:
+def text_of(
+    catalogs: dict[str, Catalog], more: str = "", control: str = "", cluster: str = "", probe: str = "http"
+) -> str:
     parts = [f'[control]\nlisten = "127.0.0.1:0"\ninterval_s = 0.2\n{control}\n{more}']
     for name, catalog in catalogs.items():
         parts.append(f'[clusters.{name}]\ndiscovery = "{catalog.address}"\n{cluster}')
-        parts.append(f"[clusters.{name}.probe]\ninterval_s = 0.1\ntimeout_s = 0.2")
+        parts.append(f'[clusters.{name}.probe]\nkind = "{probe}"\ninterval_s = 0.1\ntimeout_s = 0.2')
     return "\n".join(parts)
 
 
@@ -123,15 +125,7 @@
     async def body() -> None:
         async with place(tmp_path) as p:
             await p.cluster("orders", 5)
-            p.path.write_text("")
-            await p.serve(cluster="")
-            if kind == "tcp":
-                await p.leave()
-                p.path.write_text(text_of(p.catalogs).replace("timeout_s", 'kind = "tcp"\ntimeout_s'))
-                p.service = Service(p.path, read_control(p.path))
-                p.task = asyncio.create_task(p.service.run())
-                await p.service.ready.wait()
-                p.channel = grpc.aio.insecure_channel(f"127.0.0.1:{p.service.control.port}")
+            await p.serve(probe=kind)
             proxy = XdsProxy(p.channel).start()
             await proxy.until(lambda x: len(health(x)) == 5)
             server = p.servers["orders0"]
@@ -530,15 +524,8 @@
             made = {f"b{i}": await backend(f"b{i}") for i in range(3)}
             for name, (_, address) in made.items():
                 catalog.put(entry(name, address))
-            p.path.write_text(
-                text_of(p.catalogs, control="load_reports_s = 0.1").replace(
-                    "timeout_s", 'kind = "tcp"\ntimeout_s'
-                )
-            )
-            service = p.service = Service(p.path, read_control(p.path))
+            service = await p.serve(control="load_reports_s = 0.1", probe="tcp")
             reported: Counter[str] = Counter()
-            p.task = asyncio.create_task(service.run())
-            await service.ready.wait()
             feed = service.press.feeds["svc"]
             take = feed.loads.take
 
--- a/tests/test_xds_server.py
+++ b/tests/test_xds_server.py
@@ -11,13 +11,13 @@
 
 from envoy.service.discovery.v3 import discovery_pb2  # noqa: E402
 from node_support import run  # noqa: E402
-from xds_support import Caller, backend  # noqa: E402
+from xds_support import Caller, backend, snapshot  # noqa: E402
 
 from harecross.standins.xds import ASSIGNMENT, DRAINING, XdsProxy  # noqa: E402
 from harecross.xds import server as front  # noqa: E402
 from harecross.xds.cache import CDS, EDS, Snapshot  # noqa: E402
 from harecross.xds.publish import Endpoint, Health, Told  # noqa: E402
-from harecross.xds.resources import Encoder, Published, snapshot  # noqa: E402
+from harecross.xds.resources import Encoder, Published  # noqa: E402
 from harecross.xds.server import Control, Limits  # noqa: E402
 from harecross.xds.status import status_table  # noqa: E402
 
@@ -49,10 +49,6 @@
     assert of(HERE).get(EDS)["svc"].version != of(HERE, drained=(1,)).get(EDS)["svc"].version
 
 
-def table(control: Control) -> list[dict]:
-    return status_table(control)
-
-
 async def started(first=None) -> tuple[Control, str]:
     control = Control()
     port = await control.start("127.0.0.1:0")
@@ -101,9 +97,9 @@
             p = XdsProxy(channel, ["svc"], delta, types=(ASSIGNMENT,))
             p.refuse = lambda type_url, names: "no such locality"
             p.start()
-            while not any(s["types"].get(EDS, {}).get("reason") for s in table(control)):
+            while not any(s["types"].get(EDS, {}).get("reason") for s in status_table(control)):
                 await asyncio.sleep(0.005)
-            (s,) = table(control)
+            (s,) = status_table(control)
             assert s["node"] == "proxy" and s["types"][EDS]["reason"] == "no such locality"
             control.publish(of(HERE))  # the same content: no loop
             await asyncio.sleep(0.1)
@@ -111,9 +107,9 @@
             p.refuse = lambda type_url, names: ""
             control.publish(of(HERE, drained=(0,)))
             await p.until(lambda p: len(p.endpoints("svc")) == 2)
-            while table(control)[0]["types"][EDS]["reason"]:
+            while status_table(control)[0]["types"][EDS]["reason"]:
                 await asyncio.sleep(0.005)
-            state = table(control)[0]["types"][EDS]
+            state = status_table(control)[0]["types"][EDS]
             assert state["acked"] == state["sent"] != ""
             await gathered(p)
         await control.stop()
@@ -445,7 +441,9 @@
             assert 0.5 < found["b0"] / 500 < 0.7 and abs(found["b1"] - found["b2"]) < 50  # 3 : 1 : 1
             # A drained server gets nothing new, once the client has acknowledged what says so.
             control.publish(of(addresses, drained=(1,)), urgent={"svc"})
-            while not any(s["types"][EDS]["acked"] == s["types"][EDS]["sent"] != "" for s in table(control)):
+            while not any(
+                s["types"][EDS]["acked"] == s["types"][EDS]["sent"] != "" for s in status_table(control)
+            ):
                 await asyncio.sleep(0.005)
             await asyncio.sleep(DRAIN_GRACE)
             found = await caller.calls(300)
--- a/tests/xds_support.py
+++ b/tests/xds_support.py
@@ -1,4 +1,4 @@
-"""grpcio's own xDS client in a process of its own, and gRPC servers for it to call."""
+"""Snapshots; grpcio's own xDS client in a process of its own, and gRPC servers for it to call."""
 
 from __future__ import annotations
 
@@ -12,6 +12,16 @@
 
 import grpc
 
+from harecross.xds.cache import Snapshot
+from harecross.xds.publish import Endpoint, Told
+from harecross.xds.resources import Encoder
+
+
+def snapshot(clusters: dict[str, tuple[list[Endpoint], int]]) -> Snapshot:
+    """Everything of all clusters, each with its endpoints and the limit on calls out."""
+    return Encoder().snapshot({n: Told(tuple(e), limit) for n, (e, limit) in clusters.items()})
+
+
 CALLER = """
 import grpc, sys
 channel = grpc.insecure_channel("xds:///svc")
