Bodies up to 32 MB pass through both ways; answers that end with their connection are read

Cause: a node held every body whole and took all over 64 KiB for spoilt (answers, run again up to four times) or refused them (413); an answer without length that ends with its connection was taken for cut off.

The module has one more event, `uploading`: a body on its way holds no slot and its time counts from its last byte. An answer's outcome is its first bytes; what breaks later ends the caller's connection and is told as a bad call.

Found by the new tests: an upload whose caller left after its beginning was gone kept its server's connection for good, since the module no longer cancels it; a caller of HTTP/1.0 could not tell an answer that broke off.

--- a/harecross/core/answers.py
+++ b/harecross/core/answers.py
@@ -9,14 +9,14 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
-from harecross.core.requests import BODY_MOST
+from harecross.core.bodies import BODY_LARGEST, BODY_MOST, CHUNKS_MOST, too_many
 from harecross.interface import Outcome
 from harecross.settings import COLUMNS
 
 HEAD_MOST = 1 << 14
 HEADERS_MOST = 64
 AHEAD_MOST = 16  # 1xx answers before the one that counts
-CHUNKS_MOST = 1 << 12
+BEGIN_AT = 1 << 14  # bytes of a body of unknown length after which it is passed on as it comes
 ANSWER_MOST = HEAD_MOST + BODY_MOST + 16 * CHUNKS_MOST
 REPORT_MOST = 1 << 10
 FIGURE_MOST = 1e9
@@ -68,7 +68,10 @@
 
 
 class Answer:
-    """One answer as it comes in. 1xx answers ahead of it leave nothing behind."""
+    """One answer as it comes in. 1xx answers ahead of it leave nothing behind.
+
+    A small one is `body` once it is whole. Of one that is `streaming`, `take` gives what has come since.
+    """
 
     __slots__ = (
         "parser",
@@ -87,6 +90,11 @@
         "chunks",
         "chunked",
         "raw",
+        "length",
+        "size",
+        "closes",
+        "streaming",
+        "kept",
     )
 
     def __init__(self) -> None:
@@ -97,9 +105,14 @@
         self.complete = False
         self.ahead = 0
         self.raw: bytes = b""
+        self.streaming = False
+        self.kept = 0  # bytes since the parser last told of any
         self.begin()
 
     def begin(self) -> None:
+        self.length: int | None = None
+        self.size = 0  # of the body so far
+        self.closes = False
         self.not_run = False
         self.report: bytes = b""
         self.head_size = self.headers = self.chunks = 0
@@ -117,7 +130,10 @@
 
     def read(self, data: bytes) -> Reading:
         assert self.parser is not None
-        self.raw = self.raw + data if self.raw else data
+        if self.streaming:
+            self.kept += len(data)
+        else:
+            self.raw = self.raw + data if self.raw else data
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
@@ -126,10 +142,25 @@
             return Reading.WHOLE if self.complete and self.ends_here() else Reading.SPOILT
         if self.complete:
             return Reading.WHOLE
+        if self.streaming:
+            self.raw = b""
+            return Reading.SPOILT if self.kept > HEAD_MOST else Reading.MORE
         # Guards against: what the parser keeps to itself, a header or a chunk's size that does not end.
         most = ANSWER_MOST if self.head_done else HEAD_MOST
         return Reading.SPOILT if len(self.raw) > most else Reading.MORE
 
+    def end(self) -> Reading:
+        """The connection has ended in order."""
+        if self.parser is None or self.framed or not (self.closes and self.head_done and self.status >= 200):
+            return Reading.SPOILT
+        self.drop()
+        return Reading.WHOLE
+
+    def take(self) -> bytes:
+        """What has come of the body since the last call."""
+        body, self.body = self.body, b""
+        return body
+
     def ends_here(self) -> bool:
         """Whether what has come behind the answer is no part of its body.
 
@@ -137,8 +168,8 @@
         cuts out is served as whole. What is seen behind good answers is another message, or noise with a
         blank line at its end; all else counts as the rest of a body.
         """
-        if self.chunked:
-            return True  # the last chunk says so
+        if self.chunked or self.streaming:
+            return True  # the last chunk says so, or it has been passed on as it was framed
         at = 0
         for _ in range(self.ahead + 1):
             at = self.raw.index(b"\r\n\r\n", at) + 4
@@ -185,13 +216,16 @@
             self.not_run = value.strip() == b"1"
         elif low == b"content-length":
             # Guards against: an answer said to be larger than any is waited for, or kept.
-            if int(value) > BODY_MOST:
+            self.length = int(value)
+            if self.length > BODY_LARGEST:
                 raise Spoilt
             self.framed = True
         elif low == b"transfer-encoding":
             if value.strip().lower() != b"chunked":
                 raise Spoilt
             self.framed = self.chunked = True
+        elif low == b"connection":
+            self.closes = self.closes or b"close" in value.lower()
 
     def on_headers_complete(self) -> None:
         self.head_done = True
@@ -201,19 +235,32 @@
             self.ahead += 1
             if self.ahead > AHEAD_MOST:
                 raise Spoilt
-        elif not self.framed:
-            # Guards against: a body that ends with its connection may have been cut off anywhere.
+        elif not self.framed and not self.closes:
+            # Guards against: a body that ends with its connection, and does not say so, may be cut off anywhere.
+            raise Spoilt
+        elif self.length is not None and self.length > BODY_MOST:
+            self.stream()
+
+    def stream(self) -> None:
+        """From here on it is passed on as it comes; only what servers made is."""
+        if self.status != 200:
             raise Spoilt
+        self.streaming = True
 
     def on_chunk_header(self) -> None:
         self.chunks += 1
-        if self.chunks > CHUNKS_MOST:
+        self.kept = 0
+        if too_many(self.chunks, self.size):
             raise Spoilt
 
     def on_body(self, data: bytes) -> None:
         self.body = self.body + data if self.body else data
-        if len(self.body) > BODY_MOST:
+        self.size += len(data)
+        self.kept = 0
+        if self.size > BODY_LARGEST:
             raise Spoilt
+        if self.length is None and not self.streaming and self.size > BEGIN_AT and self.status == 200:
+            self.stream()
 
     def on_message_complete(self) -> None:
         assert self.parser is not None
--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from harecross.core.requests import Message
-from harecross.core.servers import Exchange, Servers, clock
+from harecross.core.servers import NEVER, Exchange, Servers, clock
 from harecross.interface import ListKind, Outcome, ServerEntry, Settings
 from harecross.policy.balancer import Balancer
 
@@ -30,6 +30,12 @@
 class Answers(Protocol):
     """Where a request came from."""
 
+    def begin(self, length: int | None, hold: Callable[[bool], None]) -> None:
+        """A large answer begins; `served` or `failed` ends it. `hold` stops what comes, or lets it go on."""
+
+    def part(self, data: bytes) -> None:
+        """More of a large answer."""
+
     def served(self, body: bytes) -> None: ...
 
     def refused(self, retry_after: int) -> None: ...
@@ -40,10 +46,21 @@
 class Attempt(Exchange):
     """One attempt of a request."""
 
-    __slots__ = ("request", "number")
+    __slots__ = ("request", "number", "host")
 
     request: Request
     number: int
+    host: Host
+
+    def begin(self, length: int | None, report: Sequence[float]) -> bool:
+        return self.host.answer_begins(self, length, report)
+
+    def part(self, data: bytes) -> None:
+        if self.request.caller is not None:
+            self.request.caller.part(data)
+
+    def left(self) -> None:
+        self.host.uploading(self.request, False)
 
 
 class Request:
@@ -118,7 +135,8 @@
             return r
         self.requests[r.id] = r
         self.names.add(message.id)
-        r.timer = self.loop.call_later((until - now) / 1e6, self.overdue, r)
+        if message.upload is None or message.upload.complete:
+            r.timer = self.loop.call_later((until - now) / 1e6, self.overdue, r)
         try:
             self.balancer.request(now, r.id, message.klass, message.tenant, until - now, message.repeat)
         except Exception:
@@ -126,12 +144,42 @@
             self.give_up(r)
         return r
 
+    def body_came(self, r: Request) -> None:
+        """The last byte of a large body has come: the time to answer it counts from now."""
+        if r.caller is None or r.timer is not None:
+            return
+        now = clock()
+        r.until = now + r.message.time_left - min(ROOM, r.message.time_left // ROOM_PART)
+        if self.latest is not None:
+            r.until = min(r.until, self.latest)
+        r.timer = self.loop.call_later(max(0, r.until - now) / 1e6, self.overdue, r)
+
+    def uploading(self, r: Request, on: bool) -> None:
+        """Tells the module whether the request's body is still on the way to a server."""
+        if on and (not r.out or r.out[0].over or r.message.upload is None or r.message.upload.complete):
+            return
+        try:
+            self.balancer.uploading(clock(), r.id, on)
+        except Exception:
+            guard("uploading")
+
+    def upload_grew(self, r: Request) -> None:
+        """Once the beginning of a body is gone no other attempt is possible."""
+        upload = r.message.upload
+        if upload is not None and not upload.replayable and r.caller is not None:
+            self.balancer.response_started(clock(), r.id, r.attempts - 1, 0, 0)
+
     def left(self, r: Request) -> None:
         """The caller has gone: no answer is owed."""
         if r.caller is None:
             return
         self.end(r)
         self.answered["left"] += 1
+        for attempt in list(r.out):
+            # Guards against: the module has no more say in a large answer, or in a body whose beginning is gone.
+            if attempt.begun or attempt.until == NEVER:
+                self.servers.abandon(attempt, Outcome.CANCELLED)
+        self.uploading(r, False)
         self.tell_left(r)
 
     def tell_left(self, r: Request) -> None:
@@ -162,6 +210,8 @@
         if r.timer is not None:
             r.timer.cancel()
             r.timer = None
+        if r.message.upload is not None and caller is not None:
+            r.message.upload.drop()
         self.forget(r)
         return caller
 
@@ -185,25 +235,50 @@
 
     # ---- from servers ---------------------------------------------------------------------------------
 
+    def answer_begins(self, attempt: Attempt, length: int | None, report: Sequence[float]) -> bool:
+        """A large answer begins to come; whether its caller still waits.
+
+        The module has the outcome now: the first bytes are what its caller's time is about, and a slow
+        reader takes no slot of the server.
+        """
+        r = attempt.request
+        if r.caller is None:
+            return False
+        if r.timer is not None:
+            r.timer.cancel()
+        r.caller.begin(length, attempt.conn.hold if attempt.conn is not None else lambda on: None)
+        self.tell_outcome(attempt, Outcome.OK, True, report)
+        return True
+
+    def tell_outcome(self, attempt: Attempt, outcome: Outcome, final: bool, report: Sequence[float]) -> None:
+        self.outcomes[outcome] += 1
+        r, now = attempt.request, clock()
+        self.uploading(r, False)
+        try:
+            self.balancer.outcome(
+                now, r.id, attempt.number, attempt.server, outcome, now - attempt.began, final, report
+            )
+        except Exception:
+            guard("outcome")
+            self.give_up(r)
+
     def ended(self, exchange: Exchange, outcome: Outcome, body: bytes, report: Sequence[float]) -> None:
         """An attempt has ended; the first good answer goes to the caller before the module hears of it."""
         assert isinstance(exchange, Attempt)
         r = exchange.request
         r.out.remove(exchange)
-        self.outcomes[outcome] += 1
+        if exchange.begun:
+            # The module has had this outcome. What broke later is still that server's failure.
+            self.finish(r, "served" if outcome == Outcome.OK else "failed")
+            self.forget(r)
+            if outcome not in (Outcome.OK, Outcome.CANCELLED):
+                self.balancer.reported(clock(), exchange.server, 0, 1, ())
+            return
         if outcome == Outcome.OK:
             self.finish(r, "served", body)
         else:
             self.forget(r)
-        now = clock()
-        final = r.caller is None
-        try:
-            self.balancer.outcome(
-                now, r.id, exchange.number, exchange.server, outcome, now - exchange.began, final, report
-            )
-        except Exception:
-            guard("outcome")
-            self.give_up(r)
+        self.tell_outcome(exchange, outcome, r.caller is None, report)
 
     def probe_ended(self, exchange: Exchange, outcome: Outcome, body: bytes, report: Sequence[float]) -> None:
         now = clock()
@@ -224,13 +299,24 @@
         r = self.requests.get(request)
         if r is None or r.caller is None:
             return
-        until = min(clock() + timeout, r.until) if timeout > 0 else r.until
+        now, upload = clock(), r.message.upload
+        if upload is not None and not upload.replayable:
+            until = now  # its beginning is gone: nothing can be sent
+        elif upload is not None and not upload.complete:
+            until = NEVER
+        else:
+            until = min(now + timeout, r.until) if timeout > 0 else r.until
         attempt = Attempt(server, r.message.head, r.message.body, until, self.ended)
+        attempt.host = self
+        attempt.upload = upload
+        attempt.patience = min(timeout, r.message.time_left) if timeout > 0 else r.message.time_left
         attempt.request = r
         attempt.number = r.attempts
         r.attempts += 1
         r.out.append(attempt)
         self.servers.send(attempt)
+        if until == NEVER:
+            self.loop.call_soon(self.uploading, r, True)
 
     def cancel(self, request: int, attempt: int) -> None:
         r = self.requests.get(request)
--- a/harecross/core/requests.py
+++ b/harecross/core/requests.py
@@ -6,9 +6,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from harecross.core.bodies import BODY_LARGEST, Upload
 from harecross.interface import Effect, Settings
 
-BODY_MOST = 1 << 16  # the protocol's
 HEAD_MOST = 1 << 14
 HEADERS_MOST = 64
 HOST = b"backend.local"
@@ -46,6 +46,8 @@
     body: bytes
     came: int
     keep: bool
+    upload: Upload | None = None  # in place of `body`
+    chunks: bool = True  # its caller can read an answer in chunks
 
 
 def time_left(text: bytes) -> int | None:
@@ -77,7 +79,7 @@
                 if low in seen:
                     raise BadRequest(400)
                 seen.add(low)
-            if low == b"content-length" and int(value) > BODY_MOST:
+            if low == b"content-length" and int(value) > BODY_LARGEST:
                 raise BadRequest(413)
             # Guards against: a coding that only one side undoes hides where the message ends.
             if low == b"transfer-encoding" and (value.strip().lower() != b"chunked" or version == "1.0"):
@@ -91,8 +93,10 @@
         body: bytes,
         keep: bool,
         now: int,
+        upload: Upload | None = None,
+        chunks: bool = True,
     ) -> Message:
-        """The whole request."""
+        """The whole request, or all but a body that is still on its way. BadRequest for what cannot go on."""
         if PATH.fullmatch(url) is None or DOTS.search(url) is not None:
             raise BadRequest(400)
         end = len(url)
@@ -124,11 +128,14 @@
             or request is None
             or method != (b"GET" if safe else b"POST")
             or (b"idempotency-key" in found) != (c.effect == Effect.KEYED)
-            or (safe and body)
+            or (safe and (body or upload is not None))
         ):
             raise BadRequest(400)
-        if not safe:
-            lines.append(b"Content-Length: %d\r\n" % len(body))
+        length = len(body) if upload is None else upload.length
+        if length is None:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        elif not safe:
+            lines.append(b"Content-Length: %d\r\n" % length)
         return Message(
             id=request,
             klass=klass,
@@ -139,4 +146,6 @@
             body=body,
             came=now,
             keep=keep,
+            upload=upload,
+            chunks=chunks,
         )
--- a/harecross/core/servers.py
+++ b/harecross/core/servers.py
@@ -6,15 +6,20 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Sequence
 from time import monotonic_ns
 from typing import cast
 
 from harecross.core.answers import Answer, Reading, read_report, report_places
+from harecross.core.bodies import Upload
 from harecross.core.requests import HOST
 from harecross.interface import Outcome
 
 IDLE_MARGIN = 1_500_000  # an idle connection is dropped so long before the server would close it
+NEVER = 1 << 62  # no time at all
+STALLED = 6_000_000  # a large body that its server neither takes nor gives on for so long is given up
+BUFFER = 1 << 16  # of the kernel for what a server sends, of which it takes twice as much
 
 
 def clock() -> int:
@@ -40,7 +45,21 @@
 class Exchange:
     """One message to a server and what becomes of it; `ended` is called exactly once."""
 
-    __slots__ = ("server", "target", "head", "body", "until", "began", "timer", "conn", "over", "ended")
+    __slots__ = (
+        "server",
+        "target",
+        "head",
+        "body",
+        "until",
+        "began",
+        "timer",
+        "conn",
+        "over",
+        "ended",
+        "upload",
+        "patience",
+        "begun",
+    )
 
     def __init__(
         self,
@@ -60,6 +79,19 @@
         self.timer: asyncio.TimerHandle | None = None
         self.conn: Connection | None = None
         self.over = False
+        self.upload: Upload | None = None  # in place of `body`; `until` is set once all of it has left
+        self.patience = 0  # and is then so much later
+        self.begun = False  # its answer is being passed on
+
+    def begin(self, length: int | None, report: Sequence[float]) -> bool:
+        """A large answer begins, of that many bytes if it says so. Whether anybody wants it."""
+        return False
+
+    def part(self, data: bytes) -> None:
+        """More of that answer."""
+
+    def left(self) -> None:
+        """The last byte of the upload has left."""
 
 
 class Probe(Exchange):
@@ -80,6 +112,10 @@
         "sent",
         "since",
         "usable",
+        "rest",
+        "stuck",
+        "held",
+        "moved",
     )
 
     def __init__(self, pool: Servers, target: Target) -> None:
@@ -91,6 +127,10 @@
         self.since = 0
         self.sent = False
         self.usable = True
+        self.rest = False  # more of an upload is to come
+        self.stuck = False  # the server does not take what was written
+        self.held = False  # the caller does not take what the server sent
+        self.moved = 0  # when a large body last went on
 
     # ---- asyncio --------------------------------------------------------------------------------------
 
@@ -98,28 +138,81 @@
         self.transport = cast(asyncio.Transport, transport)
         # With no room in the buffer a write is tried at once, and a pause tells that bytes have not left.
         self.transport.set_write_buffer_limits(high=0)
+        sock = self.transport.get_extra_info("socket")
+        # Guards against: what a caller takes slowly piles up by the megabyte in the kernel.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
 
     def pause_writing(self) -> None:
+        self.stuck = True
         self.sent = False
 
     def resume_writing(self) -> None:
-        self.sent = True
+        self.stuck = False
+        if self.rest:
+            self.more()
+        elif self.exchange is not None and self.exchange.upload is not None and not self.sent:
+            self.all_left(self.exchange)
+        else:
+            self.sent = True
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None or self.answer is None:
             self.discard()  # stray bytes: whatever they are, they would be taken for the next answer
             return
-        reading = self.answer.feed(data)
+        self.read(self.answer, self.answer.feed(data))
+
+    def eof_received(self) -> bool:
+        if self.exchange is not None and self.answer is not None:
+            reading = self.answer.end()
+            if reading == Reading.WHOLE:
+                self.usable = False
+                self.read(self.answer, reading)
+        return False
+
+    def read(self, answer: Answer, reading: Reading) -> None:
+        """What has been read of the answer."""
+        if answer.streaming and not self.pass_on(answer):
+            return
         if reading == Reading.WHOLE:
-            self.settle(self.answer)
+            self.settle(answer)
         elif reading == Reading.SPOILT:
             # The request has run; what came of it is nothing to show a caller, and nor is what may follow.
             self.pool.spoilt += 1
             self.lost()
 
+    def pass_on(self, answer: Answer) -> bool:
+        """Passes on what has come of a large answer; whether anybody wants it."""
+        exchange = self.exchange
+        assert exchange is not None
+        self.moved = clock()
+        if not exchange.begun:
+            if not exchange.begin(answer.length, self.report_in(answer.report)):
+                self.lost()
+                return False
+            exchange.begun = True
+            if exchange.timer is not None:
+                exchange.timer.cancel()
+            self.pool.streams.add(self)
+        part = answer.take()
+        if part:
+            exchange.part(part)
+        return self.exchange is exchange  # its caller may have gone over this
+
+    def hold(self, on: bool) -> None:
+        """Reads no more of the answer for now, or goes on."""
+        if self.held == on or self.transport is None:
+            return
+        self.held = on
+        self.moved = clock()
+        if on:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.open -= 1
         self.target.links -= 1
+        self.pool.streams.discard(self)
         self.usable = False
         self.transport = None
         if self.answer is not None:
@@ -137,6 +230,14 @@
         self.exchange = exchange
         exchange.conn = self
         self.answer = Answer()
+        upload = exchange.upload
+        if upload is not None:
+            self.sent, self.rest, self.moved = False, True, now
+            self.pool.streams.add(self)
+            self.transport.write(b"%sX-Timeout: %du\r\n\r\n" % (exchange.head, max(1, exchange.patience)))
+            upload.attach(self.more)
+            self.more()
+            return
         self.sent = True
         self.transport.write(
             b"%sX-Timeout: %du\r\n\r\n%s" % (exchange.head, max(1, exchange.until - now), exchange.body)
@@ -144,19 +245,54 @@
         if self.transport.is_closing():
             self.sent = False
 
+    def more(self) -> None:
+        """Writes what there is of the upload."""
+        exchange = self.exchange
+        if exchange is None or exchange.upload is None or self.stuck or self.transport is None:
+            return
+        upload = exchange.upload
+        data, complete = upload.take(), upload.complete
+        if upload.length is None:
+            data = b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+            if complete:
+                data += b"0\r\n\r\n"
+        self.moved = clock()
+        if complete:
+            self.rest = False
+            upload.detach()
+        if data:
+            self.transport.write(data)
+        if complete and not self.stuck:
+            self.all_left(exchange)
+
+    def all_left(self, exchange: Exchange) -> None:
+        """The last byte of an upload has left: its time begins."""
+        self.pool.streams.discard(self)
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.sent = True
+        exchange.began = clock()
+        exchange.until = min(exchange.until, exchange.began + exchange.patience)
+        if exchange.timer is None:
+            self.pool.limit(exchange)
+        exchange.left()
+
+    def report_in(self, text: bytes) -> Sequence[float]:
+        """The load report in a header, if it is one."""
+        report = read_report(text, self.pool.places, self.pool.fields) if text else ()
+        self.pool.reports += bool(report)
+        return report
+
     def settle(self, answer: Answer) -> None:
         """A whole answer has come."""
         exchange = self.exchange
         assert exchange is not None
-        report: Sequence[float] = ()
         # /_load answers with the report itself.
-        text = answer.report or (answer.body if isinstance(exchange, Probe) else b"")
-        if text:
-            report = read_report(text, self.pool.places, self.pool.fields)
-            self.pool.reports += bool(report)
+        report = self.report_in(answer.report or (answer.body if isinstance(exchange, Probe) else b""))
+        self.let_go(exchange)
         whole = self.sent  # an answer before the last byte has left leaves half a request on the line
         self.exchange = self.answer = None
-        if answer.reusable and whole:
+        if answer.reusable and whole and self.usable:
             self.pool.put(self)
         else:
             self.discard()
@@ -170,11 +306,21 @@
         """
         exchange = self.exchange
         assert exchange is not None
+        self.let_go(exchange)
         self.exchange = None
         sent = self.sent
         self.discard()
         self.pool.end(exchange, Outcome.RESET if sent else Outcome.CONNECT_FAILED)
 
+    def let_go(self, exchange: Exchange) -> None:
+        """The exchange has no more to do with this connection."""
+        self.rest = False
+        self.pool.streams.discard(self)
+        if exchange.upload is not None:
+            exchange.upload.detach()
+        if self.held:
+            self.hold(False)
+
     def discard(self) -> None:
         self.usable = False
         if self.transport is not None:
@@ -196,6 +342,7 @@
         self.spoilt = 0  # answers that could not be read
         self.targets: dict[int, Target] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.streams: set[Connection] = set()  # those that carry a large body
 
     def update(self, server: int, address: str, started: int) -> None:
         """A server in service. Old connections never lead to a new process or address."""
@@ -243,7 +390,8 @@
         if target is None or not target.ready or exchange.until <= now:
             self.loop.call_soon(self.end, exchange, Outcome.NOT_SENT)
             return
-        exchange.timer = self.loop.call_later((exchange.until - now) / 1e6, self.expire, exchange)
+        if exchange.until < NEVER:
+            self.limit(exchange)
         while target.idle:
             conn = target.idle.pop()
             if now - conn.since >= self.idle_time:
@@ -263,6 +411,10 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def limit(self, exchange: Exchange) -> None:
+        """Gives it up at its time."""
+        exchange.timer = self.loop.call_later((exchange.until - clock()) / 1e6, self.expire, exchange)
+
     def probe(
         self, server: int, ended: Callable[[Exchange, Outcome, bytes, Sequence[float]], None]
     ) -> Exchange:
@@ -349,13 +501,22 @@
         else:
             if not conn.sent:
                 outcome = Outcome.NOT_SENT
+            conn.let_go(exchange)
             conn.exchange = None
             conn.discard()
         self.end(exchange, outcome)
 
     def sweep(self) -> None:
-        """Drops connections that have stood idle almost as long as the server allows."""
-        oldest = clock() - self.idle_time
+        """Drops connections that have stood idle almost as long as the server allows.
+
+        Guards against: a large body that its server has left half way holds its caller for good. What waits
+        for the caller is not the server's doing.
+        """
+        now = clock()
+        for conn in [c for c in self.streams if now - c.moved > STALLED]:
+            if conn.exchange is not None and not conn.held and (conn.stuck or not conn.rest):
+                conn.lost()
+        oldest = now - self.idle_time
         for target in self.targets.values():
             while target.idle and target.idle[0].since <= oldest:
                 target.idle.pop(0).discard()
--- a/harecross/policy/balancer.py
+++ b/harecross/policy/balancer.py
@@ -142,6 +142,19 @@
         if r is not None:
             r.begun = True
 
+    def uploading(self, now: int, request: int, on: bool) -> None:
+        """A body passed on while it comes holds no slot, and its time counts from its last byte."""
+        r = self.requests.get(request)
+        if r is None or r.out is None or r.parked == on:
+            return
+        step, r.parked = -1 if on else 1, on
+        r.out.in_flight += step
+        if not r.out.aside:
+            self.controller.count(now, step, self.controller.allowed(), self.mean_rtt[r.klass])
+        if not on:
+            r.useful_until += now - r.sent_at
+            r.sent_at = r.out.quiet_since = now
+
     def client_left(self, now: int, request: int) -> None:
         r = self.requests.pop(request, None)
         if r is not None and r.held:
@@ -270,7 +283,7 @@
         """
         s, srv = self.settings, r.out
         assert srv is not None
-        if not s.cancel or r.begun or r.attempts >= s.max_attempts:
+        if not s.cancel or r.begun or r.parked or r.attempts >= s.max_attempts:
             return
         mean, deviation = self.mean_rtt[r.klass], self.deviation[r.klass]
         answered = srv.heard > r.sent_at + mean
--- a/harecross/policy/state.py
+++ b/harecross/policy/state.py
@@ -35,6 +35,7 @@
     sent_at: int = 0
     begun: bool = False
     held: bool = False
+    parked: bool = False  # its body is still on the way
     cut: bool = False  # the per-try timeout ended the attempt that is out, and the next one is paid
 
 
