Callers and servers share descriptors; half heads that stay are put out; a short wait for room

Half heads that stay held places for 2.5 s each.

Change: core/room.py (free of I/O) shares one number of descriptors; a head without a new byte for 0.9 s may be put out (slow callers write a piece every 0.8 s at most, seen in a probe of each connection); with nobody to put out new connections wait in the backlog for up to 0.2 s. A node told to stop serves on until its usual round-trips (mean and four deviations, an aim at most) no longer fit before the kill.

--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -113,6 +113,12 @@
             parts["turned_away"] = turned_away
         say(" ".join(f"{k}={v}" for k, v in parts.items()))
 
+    def usual_time(self) -> float:
+        """Seconds within which nearly every request is answered; the longest aim at most."""
+        b, aim = self.balancer, max(c.aim for c in self.settings.classes)
+        usual = max(m + 4 * d for m, d in zip(b.mean_rtt, b.deviation, strict=True))
+        return min(usual, aim) / 1e6
+
     # ---- from callers ---------------------------------------------------------------------------------
 
     def is_open(self, name: bytes) -> bool:
--- a/harecross/core/servers.py
+++ b/harecross/core/servers.py
@@ -14,6 +14,7 @@
 from harecross.core.answers import Answer, Reading, read_report, report_places
 from harecross.core.bodies import Upload
 from harecross.core.requests import HOST
+from harecross.core.room import Room
 from harecross.interface import Outcome
 
 IDLE_MARGIN = 1_500_000  # an idle connection is dropped so long before the server would close it
@@ -210,7 +211,7 @@
             self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.pool.open -= 1
+        self.pool.room.servers -= 1
         self.target.links -= 1
         self.pool.streams.discard(self)
         self.usable = False
@@ -330,20 +331,26 @@
 class Servers:
     """Every connection of this node to servers."""
 
-    def __init__(self, connect_timeout: int, idle_time: int, columns: Sequence[str], most: int) -> None:
+    def __init__(self, connect_timeout: int, idle_time: int, columns: Sequence[str], room: Room) -> None:
         self.loop = asyncio.get_running_loop()
         self.connect_timeout = connect_timeout / 1e6
         self.idle_time = max(idle_time - IDLE_MARGIN, idle_time // 2)
         self.places = report_places(columns)
         self.fields = len(columns)
-        self.most = most  # connections at once
-        self.open = 0
+        self.room = room
+        # Asks callers for a place: True if one of theirs has been put out.
+        self.on_short: Callable[[], bool] = lambda: False
         self.reports = 0  # load reports read
         self.spoilt = 0  # answers that could not be read
         self.targets: dict[int, Target] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.streams: set[Connection] = set()  # those that carry a large body
 
+    @property
+    def open(self) -> int:
+        """Connections to servers, and attempts at one."""
+        return self.room.servers
+
     def update(self, server: int, address: str, started: int) -> None:
         """A server in service. Old connections never lead to a new process or address."""
         host, _, port = address.rpartition(":")
@@ -401,11 +408,11 @@
             elif conn.transport is not None and not conn.transport.is_closing():
                 conn.start(exchange, now)
                 return
-        if self.open >= self.most and not self.spare():
+        if not (self.room.server_fits() or self.spare() or self.on_short()):
             # Guards against: at the descriptor limit the node could not even accept and refuse.
             self.loop.call_soon(self.end, exchange, Outcome.NOT_SENT)
             return
-        self.open += 1
+        self.room.servers += 1
         target.links += 1
         task = self.loop.create_task(self.connect(exchange, target))
         self.tasks.add(task)
@@ -441,7 +448,7 @@
             if conn.transport is not None:
                 conn.discard()
             else:
-                self.open -= 1
+                self.room.servers -= 1
                 target.links -= 1
             self.end(exchange, Outcome.CONNECT_FAILED)
             return
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -16,6 +16,7 @@
 from harecross.core.discovery import Directory, Discovery
 from harecross.core.host import Host, say
 from harecross.core.requests import Reader
+from harecross.core.room import Room
 from harecross.core.servers import Servers, clock
 from harecross.node.callers import ACCEPTS, Callers
 from harecross.node.config import BadConfig, Config, inherited_socket, read_config
@@ -75,14 +76,15 @@
         # Guards against: at the descriptor limit the node can reach neither servers nor discovery.
         reserve = RESERVE + (DOOR_ROOM + 4 if config.admin else 0)
         room = max(16, config.sockets - descriptors() - reserve)
-        self.room, self.bodies = room // 2, config.memory // BODIES
-        self.servers = Servers(config.connect_timeout, config.idle_time, config.columns, most=self.room)
+        self.whole, self.bodies = room, config.memory // BODIES
+        self.room = Room(room)
+        self.servers = Servers(config.connect_timeout, config.idle_time, config.columns, self.room)
         self.host = Host(settings, config.seed, self.servers)
         self.directory = Directory(self.host, self.servers, config.zones, config.kinds)
         self.discovery = Discovery(self.directory, config.discovery, settings.list_on_request)
         self.host.on_watch, self.host.on_fetch = self.discovery.listen, self.discovery.fetch
         reader = Reader(settings, config.classes, config.tenants)
-        self.callers = Callers(self.host, reader, most=self.room, held_most=self.bodies)
+        self.callers = Callers(self.host, reader, self.room, held_most=self.bodies)
         self.operations = None
         if config.admin is not None:
             self.operations = Operations(
@@ -160,7 +162,7 @@
     def share_bounds(self) -> None:
         """Guards against: two processes that each take all that one may hold are over the limit together."""
         parts = 2 if self.others() else 1
-        self.callers.most = self.servers.most = self.room // parts
+        self.room.total = self.whole // parts
         self.callers.held_most = self.bodies // parts
 
     def reload(self) -> None:
@@ -192,7 +194,7 @@
         left = max(c.deadline for c in classes) / 1e6 + BEFORE_KILL
         say(f"stopping, for {left:.1f} s at most")
         self.host.latest = clock() + int(left * 1e6)
-        serve_on = max(STILL_COMING, left - max(c.aim for c in classes) / 1e6 - LAST_REQUESTS)
+        serve_on = max(STILL_COMING, left - self.host.usual_time() - LAST_REQUESTS)
         if self.inherited is not None and self.others():
             say("another process serves on")
             await self.callers.hand_over()
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -14,6 +14,7 @@
 from harecross.core.bodies import BODY_LARGEST, BODY_MOST, Upload, too_many
 from harecross.core.host import Host, Request, guard
 from harecross.core.requests import HEAD_MOST, HEADERS_MOST, BadRequest, Message, Reader
+from harecross.core.room import Room
 from harecross.core.servers import clock
 
 AHEAD = 8  # requests that may wait on one connection; callers send one at a time
@@ -25,6 +26,9 @@
 EMPTIED = 1_200_000  # after a standby began, idle connections close; none may be held after 4 s
 RESTING = 5_000_000  # an idle connection is kept so long
 YOUNG = 200_000  # a new connection that has said nothing yet is not put out before
+STUCK = 900_000  # a head without a new byte is not put out before; slow callers write a piece every 0.8 s
+QUEUED = 200_000  # new connections wait so long for room before they are closed
+LOOK_AGAIN = 0.005  # seconds between two looks for room
 ACCEPTS = 16  # connections taken in one go: each holds a descriptor before it can be turned away
 LINGER = 1_000_000  # a connection that ends may take so long over it
 THROWN_MOST = 1 << 18  # bytes that are read and thrown away meanwhile
@@ -70,6 +74,7 @@
         "sending",
         "size",
         "begun",
+        "heard",
         "waited",
         "expects",
         "hold_answer",
@@ -107,7 +112,7 @@
         self.unread = -1  # bytes of a head that the parser keeps to itself; not those it began with
         self.chunks = 0
         self.size = 0  # of the body so far
-        self.begun = 0
+        self.begun = self.heard = 0  # the first and the last of it
         self.waited = False  # for a server to take of its body
         self.expects = False  # to be told to go on
 
@@ -146,6 +151,7 @@
             self.refuse_rest(e.status)
         else:
             if self.reading:
+                self.heard = clock()
                 self.unread = 0 if self.unread < 0 or self.head_done else self.unread + len(data)
                 if self.unread > HEAD_MOST:
                     self.refuse_rest(431)
@@ -530,14 +536,15 @@
     every wait of a kind is of the same length. A connection stands in one of them at most.
     """
 
-    def __init__(self, host: Host, reader: Reader, most: int, held_most: int) -> None:
+    def __init__(self, host: Host, reader: Reader, room: Room, held_most: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.host = host
         self.reader = reader
-        self.most = most  # connections at once
+        self.room = room
+        host.servers.on_short = self.make_room
+        self.short_since: int | None = None  # there is no room for the next connection
         self.held = 0  # bytes of bodies, over all connections
         self.held_most = held_most
-        self.count = 0  # descriptors
         self.open: set[Caller] = set()
         self.silent: dict[Caller, int] = {}  # said nothing yet
         self.owing: dict[Caller, int] = {}  # part of a message has come, or an answer waits to be read
@@ -570,15 +577,20 @@
         """
         assert self.sock is not None
         for _ in range(most):
+            fits = self.room.caller_fits() or self.make_room()
+            if fits:
+                self.short_since = None
+            elif self.waits():
+                return False
             try:
                 conn, _ = self.sock.accept()
             except OSError:
                 return False
-            if self.count >= self.most and not self.make_room():
+            if not fits:
                 self.turned_away += 1
                 conn.close()
                 continue
-            self.count += 1
+            self.room.callers += 1
             conn.setblocking(False)
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = self.loop.create_task(self.welcome(conn))
@@ -586,24 +598,52 @@
             task.add_done_callback(self.tasks.discard)
         return True
 
+    def waits(self) -> bool:
+        """Leaves what has come in the backlog for a moment; False once that has lasted."""
+        now = clock()
+        if self.short_since is None:
+            self.short_since = now
+        if self.leaving or now - self.short_since > QUEUED or self.sock is None:
+            return False
+        self.loop.remove_reader(self.sock)
+        self.loop.call_later(LOOK_AGAIN, self.look_again)
+        return True
+
+    def look_again(self) -> None:
+        if self.sock is not None and self.sock.fileno() >= 0:
+            self.loop.add_reader(self.sock, self.accept)
+
     async def welcome(self, conn: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: Caller(self), conn)
         except OSError:
-            self.count -= 1
+            self.room.callers -= 1
             conn.close()
 
     def make_room(self) -> bool:
-        """Puts out who holds a connection and nothing else: those that never spoke before those served."""
+        """Puts out who holds a connection and nothing else: those that never spoke before those served.
+
+        Whether anybody has been.
+        """
         for group, age in ((self.ending, YOUNG), (self.silent, YOUNG), (self.resting, 0)):
             for caller, since in group.items():
                 if clock() - since < age:
                     break
-                del group[caller]
-                if caller.transport is not None:
-                    caller.transport.abort()
-                return True
-        return False
+                return self.put_out(caller)
+        if self.room.servers_may_give() and self.host.servers.spare():
+            return True
+        # Guards against: callers that send half a head and stay hold every place for as long as a slow one may.
+        stuck = (c for c in self.owing if c.reading and not c.head_done and c.heard < clock() - STUCK)
+        oldest = min(stuck, key=lambda c: c.heard, default=None)
+        return oldest is not None and self.put_out(oldest)
+
+    def put_out(self, caller: Caller) -> bool:
+        """Ends a connection at once. Its place counts as free, though the descriptor goes a moment later."""
+        self.owes_nothing(caller)
+        self.ending.pop(caller, None)
+        if caller.transport is not None:
+            caller.transport.abort()
+        return True
 
     async def close(self) -> None:
         """Closes the listener.
@@ -645,7 +685,7 @@
 
     def parted(self, caller: Caller) -> None:
         self.open.discard(caller)
-        self.count -= 1
+        self.room.callers -= 1
         self.owes_nothing(caller)
         self.ending.pop(caller, None)
         self.lagging.pop(caller, None)
--- a/harecross/node/door.py
+++ b/harecross/node/door.py
@@ -11,7 +11,7 @@
 
 from harecross.core.host import guard, say
 
-ROOM = 16  # connections at once
+ROOM = 8  # connections at once
 PATIENCE = 2.0  # seconds for a call to come whole
 CALL_MOST = 1 << 13  # bytes of a call
 TEXTS = {
--- a/harecross/xds/feed.py
+++ b/harecross/xds/feed.py
@@ -9,6 +9,7 @@
 
 from harecross.core.discovery import Directory, Discovery
 from harecross.core.host import Host, guard, say
+from harecross.core.room import Room
 from harecross.core.servers import Exchange, Servers, clock
 from harecross.interface import ClassSettings, Effect, Outcome, Settings
 from harecross.settings import COLUMNS, address
@@ -101,7 +102,7 @@
             report_fields=tuple(columns) or ("latency_ms",),
             subset_most=ALL,
         )
-        servers = Servers(int(told.probe.timeout_s * 1e6), 15_000_000, told.columns, most=4 * PROBES_MOST)
+        servers = Servers(int(told.probe.timeout_s * 1e6), 15_000_000, told.columns, Room(8 * PROBES_MOST))
         host = Judge(settings, seed, servers)
         host.name = name
         super().__init__(name, host, Directory(host, servers, (), ()), changed)
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -62,6 +62,12 @@
     uvloop.run(limited())
 
 
+async def until(true: Callable[[], object]) -> None:
+    """Waits for something to become true."""
+    while not true():
+        await asyncio.sleep(0.005)
+
+
 class Arrived:
     """A request at a server."""
 
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,112 @@
+"""Descriptors under a crowd: how they are shared, who is put out, and who waits."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from node_support import Client, until, with_node
+
+from harecross.core.room import Room
+from harecross.node import callers
+
+HALF = b"GET /read/1 HTTP/1.1\r\nX-Request-ID: r"
+
+
+@given(st.integers(16, 2000), st.lists(st.sampled_from(["caller", "server", "gone", "done"]), max_size=400))
+def test_no_side_takes_the_others_least_part_and_both_keep_within_the_whole(total, steps):
+    room = Room(total)
+    for step in steps:
+        if step == "caller" and room.caller_fits():
+            room.callers += 1
+        elif step == "server" and room.server_fits():
+            room.servers += 1
+        elif step == "gone" and room.callers:
+            room.callers -= 1
+        elif step == "done" and room.servers:
+            room.servers -= 1
+        assert room.callers + room.servers <= total
+        assert room.callers <= total - total // 4 and room.servers <= total - total // 3
+        # Whoever holds less than its least part always gets the next one.
+        assert room.callers >= min(total // 3, total // 4) or room.caller_fits() or room.servers > total // 2
+        assert room.servers >= total // 4 or room.server_fits()
+
+
+async def part_of(client: Client, text: bytes) -> Client:
+    client.writer.write(text)
+    await client.writer.drain()
+    return client
+
+
+def test_half_heads_that_stay_make_room_and_slow_ones_are_served(monkeypatch):
+    monkeypatch.setattr(callers, "STUCK", 200_000)
+
+    async def test(w) -> None:
+        w.origins[0].answer_all()
+        slow = await w.client()
+        text = b"GET /read/1 HTTP/1.1\r\nX-Request-ID: slow\r\nX-Timeout: 9000m\r\n\r\n"
+
+        async def write_slowly() -> None:
+            for i in range(0, len(text), 4):
+                slow.writer.write(text[i : i + 4])
+                await asyncio.sleep(0.04)
+
+        writing = asyncio.create_task(write_slowly())
+        w.node.room.total = 16
+        stay = [await part_of(await w.client(), HALF) for _ in range(40)]
+        client = await w.client()
+        client.send()
+        assert (await client.answer())[0] == 200  # waits for a place and has one
+        await writing
+        assert (await slow.answer())[0] == 200
+        await until(lambda: w.node.room.callers + w.node.room.servers <= 16)
+        for other in stay:
+            other.writer.close()
+
+    with_node(test)
+
+
+def test_a_new_connection_waits_for_a_place_and_is_served(monkeypatch):
+    monkeypatch.setattr(callers, "QUEUED", 20_000_000)
+
+    async def test(w) -> None:
+        w.node.room.callers += 1000  # all places are held by requests
+        late = await w.client()
+        late.send("/_health")
+        answer = asyncio.create_task(late.answer())
+        await until(lambda: w.node.callers.short_since is not None)
+        assert not answer.done() and w.node.callers.turned_away == 0
+        w.node.room.callers -= 1000
+        assert (await answer)[0] == 200 and w.node.callers.turned_away == 0
+
+    with_node(test)
+
+
+def test_a_new_connection_does_not_wait_for_good(monkeypatch):
+    monkeypatch.setattr(callers, "QUEUED", 30_000)
+
+    async def test(w) -> None:
+        w.node.room.callers += 1000
+        late = await w.client()
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await late.answer()
+        assert w.node.callers.turned_away == 1
+
+    with_node(test)
+
+
+def test_a_call_takes_the_place_of_a_caller_that_rests():
+    async def test(w) -> None:
+        w.origins[0].answer_all()
+        resting = [await w.client() for _ in range(6)]
+        for client in resting:
+            client.send("/_health")
+            assert (await client.answer())[0] == 200
+        w.node.room.total = 6
+        resting[0].send("/put/1", key="k")
+        assert (await resting[0].answer())[0] == 200
+        await until(lambda: w.node.room.callers == 5)
+
+    with_node(test)
