--- a/harecross/policy/controller.py
+++ b/harecross/policy/controller.py
@@ -31,7 +31,7 @@
 BURST = 4  # calls in flight that a copy held to less on average may have at one instant
 LEAST_MOST = 3  # floors a copy may always reach: nine calls a server, all copies together
 SOLE_MOST = 2  # floors it may reach outside passes even where a pass's limit on few members is less
-START_MOST = 2.0  # times a pass's limit that few copies start with: each carries much and knows nothing yet
+START_MOST = 3.0  # times a pass's limit that few copies start with: each carries much and knows nothing yet
 
 
 def percentile(samples: list[float], share: float) -> float:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -329,3 +329,10 @@
     fill(c, 62_500)
     assert c.limit > c.pass_limit == 5 * MIN_LIMIT
     assert c.limit == pytest.approx(max(2 * c.floor, 2 * 10 + sqrt(40)))
+
+
+def test_one_of_few_copies_starts_with_what_such_a_copy_carries():
+    """Two copies before four servers refused a fifth of the lesser class in their first seconds."""
+    c = GradientController([500_000], 20_000, Random(1), 0)
+    c.resize(members=4, servers=4, instances=2)
+    assert c.allowed() - c.headroom() >= 30
