A process that takes over begins with what the one before it learned

What cannot be believed changes nothing. A test found that every zone could be cut off at once; mended.

--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -114,6 +114,8 @@
                 self.discovery.begin(self.config.known)
             except ValueError as e:
                 say(f"known: {e}")
+        if self.operations is not None:
+            self.operations.recall()
         if not self.discovery.asked:
             self.discovery.listen(True)
         sock = self.inherited or self.bind()
@@ -237,6 +239,7 @@
     def sweep(self) -> None:
         if self.operations is not None:
             self.share_bounds()
+            self.operations.learn()
         self.servers.sweep()
         self.callers.sweep()
         now = self.loop.time()
--- a/harecross/node/operations.py
+++ b/harecross/node/operations.py
@@ -5,13 +5,17 @@
 import asyncio
 from collections.abc import Callable
 
+from harecross.core import memory
 from harecross.core.discovery import Directory
+from harecross.core.host import say
 from harecross.core.maintenance import Held, difference
+from harecross.core.servers import clock
 from harecross.node.callers import Callers
 from harecross.node.door import Answer, Door
 from harecross.node.store import Store
 
 LOOK_EVERY = 0.05  # seconds between two looks at what another process was told
+LEARN_EVERY = 1.0  # seconds between two writings of what was learned
 FIRST_LIST = 1.0  # seconds that `status` waits for discovery before the list in hand will do
 ID_MOST = 512
 
@@ -28,6 +32,7 @@
         self.directory = directory
         self.callers = callers
         self.serving_since: float | None = None
+        self.learned_at = self.loop.time()
         self.heard = heard
         self.door = Door(
             {
@@ -49,6 +54,27 @@
         self.serving_since = self.loop.time()
         self.tick()
 
+    def recall(self) -> None:
+        """Begins where the process that serves already stands, if there is one."""
+        text = self.store.read_learned()
+        if text is None:
+            return
+        try:
+            memory.recall(self.directory.host.balancer, self.directory.numbers, text, clock())
+            say("what the other process has learned is taken over")
+        except ValueError as e:
+            say(f"{self.store.learned}: not taken over: {e}")
+
+    def learn(self) -> None:
+        """Writes what this process has learned, now and then, until it is to stop."""
+        now = self.loop.time()
+        if self.callers.leaving or now < self.learned_at + LEARN_EVERY:
+            return
+        self.learned_at = now
+        text = memory.learned(self.directory.host.balancer, self.directory.numbers)
+        if text is not None:
+            self.store.write_learned(text)
+
     def close(self) -> None:
         if self.ticking is not None:
             self.ticking.cancel()
--- a/harecross/node/store.py
+++ b/harecross/node/store.py
@@ -10,13 +10,16 @@
 import os
 import re
 import secrets
+import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 from harecross.core.host import say
 from harecross.core.maintenance import Held, from_json
 
+LEARNED_FRESH = 5.0  # seconds after which what was learned no longer holds
+
 
 class Store:
     """What is held out, in `folder`, for the node of that name. Without a folder it lives in memory alone."""
@@ -26,6 +29,7 @@
         self.seen: tuple[int, int] | None = None  # inode and time of the file as last read
         plain = re.sub(r"[^A-Za-z0-9._-]", "_", name)
         self.path = Path(folder) / f"harecross-{plain}.held" if folder else None
+        self.learned = Path(folder) / f"harecross-{plain}.learned" if folder else None
         self.start = f"harecross-{plain}.life-"
         self.lives = Path(folder) / f"{self.start}{secrets.token_hex(6)}" if folder else None
         self.life: int | None = None
@@ -68,6 +72,26 @@
             os.replace(new, self.path)
             self.look()
 
+    # ---- what was learned -----------------------------------------------------------------------------
+
+    def write_learned(self, text: bytes) -> None:
+        """Leaves it to the process that takes over; what cannot be written is not missed for long."""
+        if self.learned is not None:
+            new = self.learned.with_suffix(".learning")
+            with suppress(OSError):
+                new.write_bytes(text)
+                os.replace(new, self.learned)
+
+    def read_learned(self) -> bytes | None:
+        """What another process has just written, if there is one."""
+        if self.learned is None or not self.others():
+            return None
+        try:
+            fresh = time.time() - self.learned.stat().st_mtime < LEARNED_FRESH
+            return self.learned.read_bytes() if fresh else None
+        except OSError:
+            return None
+
     # ---- who lives ------------------------------------------------------------------------------------
 
     def live(self) -> None:
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,126 @@
+"""What one process has learned, in the hands of the next; and what it must not believe."""
+
+from __future__ import annotations
+
+import json
+import os
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from support import ask, balancer, end
+from test_operations import Site, tell, with_site
+
+from harecross.core.memory import learned, recall
+from harecross.interface import Outcome, ServerEntry
+from harecross.node.store import LEARNED_FRESH, Store
+
+MS = 1000
+NAMES = {f"s{i}": i for i in range(1, 5)}
+ENTRIES = [ServerEntry(i, zone=i % 2) for i in range(1, 5)]
+
+
+def used():
+    """A copy that has carried calls for some seconds: server 4 fails all of them, server 3 is slow."""
+    node, recorder = balancer(ENTRIES)
+    now = 0
+    for i in range(1, 900):
+        now += 5 * MS
+        action = ask(node, recorder, now, i, klass=2)
+        if action[0] != "send":
+            continue
+        server = action[2]
+        outcome = Outcome.ERROR if server == 4 else Outcome.OK
+        end(node, recorder, now + MS, i, 0, server, outcome, latency=90 * MS if server == 3 else 20 * MS)
+    assert node.controller.passes and node.ejected
+    return node, now
+
+
+def test_the_next_process_begins_where_the_last_one_stands():
+    old, now = used()
+    text = learned(old, NAMES)
+    assert text is not None
+    new, _ = balancer(ENTRIES, seed=2)
+    assert new.controller.in_pass
+    recall(new, NAMES, text, 7)
+    a, b = old.controller, new.controller
+    assert (b.limit, b.usual, b.min_rtt, b.target) == (a.limit, a.usual, a.min_rtt, a.target)
+    assert not b.in_pass and new.mean_rtt == old.mean_rtt
+    assert [s.id for s in new.ejected] == [4]  # no call is lost to learning it again
+    assert new.servers[3].slowness == old.servers[3].slowness > new.servers[1].slowness
+
+
+def test_a_cut_off_zone_is_not_learned_again_and_the_last_zone_is_not_cut():
+    old, _ = used()
+    text = json.loads(learned(old, NAMES))
+    new, _ = balancer(ENTRIES, seed=2)
+    recall(new, NAMES, json.dumps({**text, "cut": [0, 1], "servers": {}}).encode(), 7)
+    assert len(new.cut) == 1 and new.able
+    assert all(m.zone != new.cut[0].id for m in new.able)
+
+
+def test_a_copy_that_has_measured_nothing_hands_on_nothing():
+    assert learned(balancer(ENTRIES)[0], NAMES) is None
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.data())
+def test_what_cannot_be_believed_changes_nothing(data):
+    old, _ = used()
+    told = json.loads(learned(old, NAMES))
+    key = data.draw(st.sampled_from(sorted(told)))
+    bad = st.sampled_from([None, "x", [], [1], [0, 0, 0], {"s1": 3}, True, float("nan")])
+    told[key] = data.draw(bad)
+    zeros = ("cut", "deviation", "min_rtt")
+    if (key == "cut" and told[key] in ([], [1])) or (key in zeros and told[key] == [0, 0, 0]):
+        return  # true of some copy
+    new, _ = balancer(ENTRIES, seed=2)
+    with pytest.raises(ValueError):
+        recall(new, NAMES, json.dumps(told).encode(), 7)
+    assert new.controller.in_pass and not new.ejected and new.controller.passes == 0
+
+
+@pytest.mark.parametrize("at", range(0, 400, 7))
+def test_a_text_cut_off_anywhere_changes_nothing(at):
+    text = TEXT[: min(at, len(TEXT) - 1)]
+    new, _ = balancer(ENTRIES, seed=2)
+    with pytest.raises(ValueError):
+        recall(new, NAMES, text, 7)
+    assert new.controller.in_pass
+
+
+TEXT = learned(used()[0], NAMES) or b""
+
+
+def test_what_was_learned_is_read_only_while_its_process_lives_and_is_fresh(tmp_path):
+    old, new = Store(str(tmp_path), "n0"), Store(str(tmp_path), "n0")
+    old.live()
+    old.write_learned(b"x")
+    assert new.read_learned() == b"x"
+    past = os.stat(old.learned).st_mtime - LEARNED_FRESH - 1
+    os.utime(old.learned, (past, past))
+    assert new.read_learned() is None
+    old.write_learned(b"y")
+    old.leave()
+    assert new.read_learned() is None
+    Store(None, "n0").write_learned(b"z")  # with nowhere to write nothing is written
+
+
+def test_a_node_takes_over_what_the_one_beside_it_has_learned(tmp_path, capfd):
+    async def test(site: Site) -> None:
+        async with site.node() as old:
+            ctl = old.host.balancer.controller
+            ctl.end_pass(1)
+            ctl.limit = ctl.usual = 11.0
+            old.operations.learned_at = 0.0
+            old.operations.learn()
+            async with site.node() as new:
+                assert new.host.balancer.controller.limit == 11.0
+                assert (await tell(new, "/status"))[0] == 200
+            old.operations.store.write_learned(b"{}")
+            async with site.node() as new:
+                assert new.host.balancer.controller.in_pass
+        err = capfd.readouterr().err
+        assert "is taken over" in err and "not taken over" in err
+
+    with_site(test, tmp_path)
