--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -130,11 +130,7 @@
         self.last_id += 1
         now = clock()
         # Counted from when the message came, not from when its turn on the connection came.
-        room = min(ROOM, message.time_left // ROOM_PART)
-        until = message.came + message.time_left - room
-        if self.latest is not None:
-            # Guards against: a request taken late in a planned restart is still open when the kill comes.
-            until = min(until, self.latest)
+        until = self.answer_by(message, message.came)
         r = Request(self.last_id, caller, message, until)
         if until <= now or len(self.requests) >= self.settings.max_open:
             self.finish(r, "refused")
@@ -150,19 +146,24 @@
             self.give_up(r)
         return r
 
+    def answer_by(self, message: Message, came: int) -> int:
+        """When a request that came at that time is to have its answer."""
+        until = came + message.time_left - min(ROOM, message.time_left // ROOM_PART)
+        # Guards against: a request taken late in a planned restart is still open when the kill comes.
+        return until if self.latest is None else min(until, self.latest)
+
     def body_came(self, r: Request) -> None:
         """The last byte of a large body has come: the time to answer it counts from now."""
         if r.caller is None or r.timer is not None:
             return
         now = clock()
-        r.until = now + r.message.time_left - min(ROOM, r.message.time_left // ROOM_PART)
-        if self.latest is not None:
-            r.until = min(r.until, self.latest)
+        r.until = self.answer_by(r.message, now)
         r.timer = self.loop.call_later(max(0, r.until - now) / 1e6, self.overdue, r)
 
     def uploading(self, r: Request, on: bool) -> None:
         """Tells the module whether the request's body is still on the way to a server."""
-        if on and (not r.out or r.out[0].over or r.message.upload is None or r.message.upload.complete):
+        upload = r.message.upload
+        if upload is None or (on and (not r.out or r.out[0].over or upload.complete)):
             return
         try:
             self.balancer.uploading(clock(), r.id, on)
--- a/harecross/core/memory.py
+++ b/harecross/core/memory.py
@@ -11,8 +11,7 @@
 from typing import Any
 
 from harecross.policy.balancer import Balancer
-
-SLOW_LEAST, SLOW_MOST = 0.25, 8.0  # bounds of a server's slowness in the module
+from harecross.policy.health import FASTEST, SLOWEST
 
 
 def learned(balancer: Balancer, names: Mapping[str, int]) -> bytes | None:
@@ -65,7 +64,7 @@
         warm_rate = number(told["warm_rate"], 0, 1e6)
         cut = [int(number(zone, 0, 1e6)) for zone in told["cut"]]
         servers = {
-            str(name): (number(slow, SLOW_LEAST, SLOW_MOST), number(fails, 0, 1), bool(ejected))
+            str(name): (number(slow, FASTEST, SLOWEST), number(fails, 0, 1), bool(ejected))
             for name, (slow, fails, ejected) in told["servers"].items()
         }
     except (KeyError, TypeError, AttributeError) as e:
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -19,7 +19,7 @@
 from harecross.core.room import Room
 from harecross.core.servers import Servers, clock
 from harecross.node.callers import ACCEPTS, Callers
-from harecross.node.config import BadConfig, Config, inherited_socket, read_config
+from harecross.node.config import BadConfig, Config, bound_socket, inherited_socket, read_config
 from harecross.node.door import ROOM as DOOR_ROOM
 from harecross.node.operations import Operations
 from harecross.node.store import Store
@@ -133,13 +133,10 @@
         await self.drain()
 
     def bind(self) -> socket.socket:
-        sock = socket.socket()
         try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(self.config.listen)
+            return bound_socket(self.config.listen)
         except OSError as e:
             raise BadConfig("listen {}:{}: {}".format(*self.config.listen, e.strerror)) from None
-        return sock
 
     async def open_door(self, operations: Operations, address: tuple[str, int]) -> None:
         """Before the first list: what was held out by the process before has never been used by this one."""
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -576,8 +576,13 @@
         server nor a usual caller can be reached. Beyond the bound a connection is closed at no further cost.
         """
         assert self.sock is not None
-        for _ in range(most):
-            fits = self.room.caller_fits() or self.make_room()
+        for taken_now in range(most):
+            fits = self.room.caller_fits()
+            if not fits and taken_now:
+                return (
+                    True  # the loop says whether another waits: nobody is put out for one that does not come
+                )
+            fits = fits or self.make_room()
             if fits:
                 self.short_since = None
             elif self.waits():
@@ -655,6 +660,11 @@
         self.loop.remove_reader(self.sock)
         while self.accept():
             await asyncio.sleep(0)
+        await self.let_go()
+
+    async def let_go(self) -> None:
+        """Closes the socket, and waits for connections that are being taken."""
+        assert self.sock is not None
         self.sock.close()
         if self.tasks:
             await asyncio.wait(self.tasks)
@@ -663,10 +673,8 @@
         """Takes no more: what waits on the listening socket is for the process that shares it."""
         assert self.sock is not None
         self.loop.remove_reader(self.sock)
-        self.sock.close()
         self.leaving = True
-        if self.tasks:
-            await asyncio.wait(self.tasks)
+        await self.let_go()
 
     def stand(self, by: bool) -> None:
         """Sends clients away, or takes them again.
--- a/harecross/node/config.py
+++ b/harecross/node/config.py
@@ -107,6 +107,18 @@
         raise BadConfig(f"{path}: {e}") from None
 
 
+def bound_socket(address: tuple[str, int]) -> socket.socket:
+    """A socket at the address, not listening yet. OSError where the address is not to be had."""
+    sock = socket.socket()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def inherited_socket() -> socket.socket | None:
     """The clients' listening socket where LB_INHERITED_FD names one that the parent holds."""
     text = os.environ.get("LB_INHERITED_FD")
--- a/harecross/node/door.py
+++ b/harecross/node/door.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 from typing import cast
 
 from httptools import HttpParserError, HttpRequestParser
 
 from harecross.core.host import guard, say
+from harecross.node.config import bound_socket
 
 ROOM = 8  # connections at once
 PATIENCE = 2.0  # seconds for a call to come whole
@@ -100,13 +100,7 @@
 
     async def listen(self, host: str, port: int) -> None:
         """OSError where the address is not to be had."""
-        sock = socket.socket()
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((host, port))
-        except OSError:
-            sock.close()
-            raise
+        sock = bound_socket((host, port))
         self.server = await self.loop.create_server(lambda: Caller(self), sock=sock)
         self.address = sock.getsockname()
 
--- a/harecross/node/operations.py
+++ b/harecross/node/operations.py
@@ -112,12 +112,14 @@
         return 200, f"{'standby' if held.standby else 'active'}; servers out: {out}"
 
     def enter(self, body: bytes) -> Answer:
-        name, why = self.known(body)
-        return self.change(name, "out", True) if name else (404, why)
+        return self.move(body, Held.enter, "out")
 
     def exit(self, body: bytes) -> Answer:
+        return self.move(body, Held.exit, "in use")
+
+    def move(self, body: bytes, make: Callable[[Held, str], Held], how: str) -> Answer:
         name, why = self.known(body)
-        return self.change(name, "in use", False) if name else (404, why)
+        return self.write(lambda held: make(held, name), f"{name}: {how}") if name else (404, why)
 
     def known(self, body: bytes) -> tuple[str, str]:
         """The id in a body and nothing, or nothing and what is wrong with it."""
@@ -131,9 +133,6 @@
             return "", f"{name}: no such server"
         return name, ""
 
-    def change(self, name: str, how: str, out: bool) -> Answer:
-        return self.write(lambda held: held.enter(name) if out else held.exit(name), f"{name}: {how}")
-
     def stand(self, by: bool) -> Answer:
         return self.write(lambda held: held.stand(by), "standby" if by else "active")
 
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -111,3 +111,19 @@
         await until(lambda: w.node.room.callers == 5)
 
     with_node(test)
+
+
+def test_one_new_connection_puts_out_one_caller_that_rests():
+    async def test(w) -> None:
+        resting = [await w.client() for _ in range(6)]
+        for client in resting:
+            client.send("/_health")
+            assert (await client.answer())[0] == 200
+        w.node.room.total = 8  # six callers and a quarter for servers: full
+        new = await w.client()
+        new.send("/_health")
+        assert (await new.answer())[0] == 200
+        await until(lambda: w.node.room.callers == 6)
+        assert len(w.node.callers.resting) == 6
+
+    with_node(test)
