A child of the control service is started by vfork: grpc's fork handlers crashed it

Cause: uvloop starts a child by fork(2), which runs what libraries have registered with pthread_atfork in the child. grpc's handlers ran there, with its other threads gone. On 8 cores the crash came up in two of the first two runs of tests/test_control.py: once in a worker's start, once in the test's own command.

Change: harecross.core.child starts processes through subprocess, which uses vfork here, and waits by a pidfd. How a worker ended is named in the log (status, or the signal).

A large body that broke off before its last byte had left is refused with a time to come back, no longer failed: it cannot have run.

--- a/harecross/policy/balancer.py
+++ b/harecross/policy/balancer.py
@@ -131,7 +131,7 @@
             if final or outcome == Outcome.OK:
                 del self.requests[request]
             elif r.begun:
-                self.finish(r, refuse=False)
+                self.finish(r, refuse=outcome in NEVER_RAN and r.ran_on is None)
             else:
                 self.after_failure(now, r, srv, outcome)
         if self.waiting:
--- a/harecross/xds/fleet.py
+++ b/harecross/xds/fleet.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from harecross.core.child import Child, cause
 from harecross.settings import address
 from harecross.xds.link import (
     Ask,
@@ -35,6 +36,7 @@
 AGAIN = 0.2  # seconds before a worker that has ended is started again...
 AGAIN_MOST = 5.0  # ...doubling up to so many while it ends at once
 START = 20.0  # seconds a worker may take to listen
+LAST_BREATH = 2.0  # seconds from its link's end to its own
 
 
 class Member:
@@ -42,7 +44,7 @@
 
     def __init__(self) -> None:
         self.link: Link | None = None
-        self.process: asyncio.subprocess.Process | None = None
+        self.process: Child | None = None
         self.streams = Streams(0, 0)
 
 
@@ -92,20 +94,17 @@
         """Starts a worker and tells it all there is."""
         ours, theirs = socket.socketpair()
         with theirs:
-            member.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "harecross.xds.worker",
-                str(theirs.fileno()),
-                pass_fds=(theirs.fileno(),),
-            )
+            number = theirs.fileno()
+            command = [sys.executable, "-m", "harecross.xds.worker", str(number)]
+            member.process = Child(command, pass_fds=(number,))
         member.link = Link(*await asyncio.open_connection(sock=ours))
         member.link.send(self.setup)
         try:
             async with asyncio.timeout(START):
                 answer = await member.link.receive()
         except (EOFError, TimeoutError):
-            raise OSError(f"{self.setup.listen}: a worker did not start") from None
+            why = await self.end_of(member)
+            raise OSError(f"{self.setup.listen}: a worker did not start: it {why}") from None
         if not isinstance(answer, Listening) or answer.error:
             raise OSError(answer.error if isinstance(answer, Listening) else "a worker answered out of turn")
         if self.known:
@@ -123,7 +122,7 @@
             if self.stopping:
                 return
             wait = AGAIN if loop.time() - began > AGAIN_MOST else min(2 * wait, AGAIN_MOST)
-            self.log(f"xds: a worker has ended; another one in {wait:g} s")
+            self.log(f"xds: a worker {await self.end_of(member)}; another one in {wait:g} s")
             await asyncio.sleep(wait)
             try:
                 await self.begin(member)
@@ -132,6 +131,18 @@
                 self.log(f"xds: worker: {e}")
                 self.lost(member)
 
+    async def end_of(self, member: Member) -> str:
+        """How the worker ended, in words; one that has let go of its link and lives on is killed."""
+        if member.process is None:
+            return "did not start"
+        try:
+            async with asyncio.timeout(LAST_BREATH):
+                return cause(await member.process.wait())
+        except TimeoutError:
+            member.process.kill()
+            await member.process.wait()
+            return "had lost its link and was killed"
+
     def lost(self, member: Member) -> None:
         if member.link is not None:
             member.link.writer.close()
