--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -4,13 +4,15 @@
 
 import json
 import os
-import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated, Any, NoReturn
+from typing import TYPE_CHECKING, Annotated, Any
 
 import typer
 
+from harecross.doors.cli import door_app
+from harecross.exits import stop
+
 if TYPE_CHECKING:
     from rich.console import Console
 
@@ -22,6 +24,7 @@
 app.add_typer(trace_app, name="trace")
 control_app = typer.Typer(invoke_without_command=True)
 app.add_typer(control_app, name="control")
+app.add_typer(door_app, name="door")
 
 Files = Annotated[list[Path], typer.Argument(help="The trace's files, plain, .gz or .zst, in order.")]
 FormatName = Annotated[str | None, typer.Option("--format", help="In place of recognising it.")]
@@ -34,12 +37,6 @@
 Late = Annotated[str, typer.Option("--late", help="A row beyond the window: drop or clamp.")]
 
 
-def stop(text: str, status: int = 2) -> NoReturn:
-    """One line on standard error."""
-    print(f"harecross: {text}", file=sys.stderr)
-    raise typer.Exit(status)
-
-
 @app.command()
 def node(
     config: Annotated[Path | None, typer.Option(help="The operators' file (deploy/harecross.toml).")] = None,
--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -5,6 +5,7 @@
 import asyncio
 import sys
 import traceback
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -119,6 +120,10 @@
         usual = max(m + 4 * d for m, d in zip(b.mean_rtt, b.deviation, strict=True))
         return min(usual, aim) / 1e6
 
+    def out_on(self) -> Counter[int]:
+        """How many attempts each server has out, large bodies and answers on their way among them."""
+        return Counter(attempt.server for r in self.requests.values() for attempt in r.out)
+
     # ---- from callers ---------------------------------------------------------------------------------
 
     def is_open(self, name: bytes) -> bool:
--- a/harecross/node/door.py
+++ b/harecross/node/door.py
@@ -23,7 +23,7 @@
     503: b"Service Unavailable",
 }
 Answer = tuple[int, str]  # status and a line of text
-Call = Callable[[bytes], Answer]  # takes the body
+Call = Callable[[bytes], Answer]  # takes the body of a POST, the query of a GET
 
 
 class Caller(asyncio.Protocol):
@@ -121,13 +121,13 @@
         self.open[caller] = None
 
     def call(self, method: bytes, url: bytes, body: bytes) -> Answer:
-        path = url.split(b"?")[0]
+        path, _, query = url.partition(b"?")
         do = self.calls.get((method, path))
         if do is None:
             known = any(path == other for _, other in self.calls)
             return (405, "another method") if known else (404, "no such call")
         try:
-            answer = do(body)
+            answer = do(query if method == b"GET" else body)
         except Exception:
             guard("door")
             return 500, "failed: see the log"
--- a/harecross/node/operations.py
+++ b/harecross/node/operations.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Callable
+from urllib.parse import parse_qsl
 
 from harecross.core import memory
 from harecross.core.discovery import Directory
 from harecross.core.host import say
 from harecross.core.maintenance import Held, difference
+from harecross.core.roster import roster
 from harecross.core.servers import clock
 from harecross.node.callers import Callers
 from harecross.node.door import Answer, Door
@@ -37,6 +40,7 @@
         self.door = Door(
             {
                 (b"GET", b"/status"): self.status,
+                (b"GET", b"/servers"): self.servers,
                 (b"POST", b"/maintenance/enter"): self.enter,
                 (b"POST", b"/maintenance/exit"): self.exit,
                 (b"POST", b"/standby"): lambda body: self.stand(True),
@@ -111,6 +115,18 @@
         out = ", ".join(sorted(held.out)) or "none"
         return 200, f"{'standby' if held.standby else 'active'}; servers out: {out}"
 
+    def servers(self, query: bytes) -> Answer:
+        """Each server as this process sees it, one line of JSON; `id=` names those that are asked for."""
+        wanted = {name for key, name in parse_qsl(query.decode(errors="replace")) if key == "id"}
+        rows = roster(self.directory, self.directory.host.out_on(), clock())
+        told = {
+            "name": self.store.name,
+            "standby": self.store.held.standby,
+            "others": self.store.others(),
+            "servers": [row for row in rows if not wanted or row["id"] in wanted],
+        }
+        return 200, json.dumps(told, separators=(",", ":"))
+
     def enter(self, body: bytes) -> Answer:
         return self.move(body, Held.enter, "out")
 
--- a/harecross/node/store.py
+++ b/harecross/node/store.py
@@ -25,6 +25,7 @@
     """What is held out, in `folder`, for the node of that name. Without a folder it lives in memory alone."""
 
     def __init__(self, folder: str | None, name: str) -> None:
+        self.name = name
         self.held = Held()
         self.seen: tuple[int, int] | None = None  # inode and time of the file as last read
         plain = re.sub(r"[^A-Za-z0-9._-]", "_", name)
