A limit that binds in good time follows doubled traffic within round-trips, not seconds

The limit stays within twice "usual", which follows over 3 s, so a tenth of the lesser class was refused (46 to 53 calls, rq_blocked) while servers answered in good time.

Change: "usual" ramps up as after a start, from the second window in good time in which the limit binds.

--- a/harecross/policy/controller.py
+++ b/harecross/policy/controller.py
@@ -24,6 +24,7 @@
 LOST_LATE = 0.05  # the same while calls are late as well...
 LATE_MOST = 0.1  # ...so many of them; per-try timeouts withdraw then too
 USUAL_TIME = 3_000_000  # over so long the usual number of calls in flight is smoothed
+RAMP_AGAIN = 0.7  # so much of the limit, carried in good time, begins a ramp anew
 RAMP_RTTS = 2  # ...and, after a start, over so many mean round-trips
 USUAL_FADE = 12_000_000  # over so long it is given up while calls are lost
 USUAL_MOST = 2.0  # the limit stays within so many times the usual number
@@ -220,7 +221,7 @@
         count = len(self.samples)
         if age < WINDOW or count == 0 or (count < WINDOW_SAMPLES and age < WINDOW * WINDOW_STRETCH):
             return
-        self.sample_rtt = percentile(self.samples, PERCENTILE)
+        before, self.sample_rtt = self.sample_rtt, percentile(self.samples, PERCENTILE)
         self.samples.clear()
         self.window_start = now
         self.gradient = min(GRADIENT_HIGH, max(GRADIENT_LOW, 1.0 / max(self.sample_rtt, 1e-9)))
@@ -235,14 +236,15 @@
         # would close the fleet. What this copy carried while latency was good stays allowed.
         carried = self.flight_sum / count
         # Failure prevented: a copy that starts into full traffic refuses half of it for five seconds, since
-        # "usual" starts at nothing. It follows within RAMP_RTTS, up to the first window that is above target
-        # or in which the limit does not bind.
+        # "usual" starts at nothing; one whose neighbour is emptied refuses a tenth. It follows
+        # within RAMP_RTTS, up to the first window that is above target or in which the limit does not bind,
+        # and again from the second one in good time in which it does.
         span = USUAL_TIME
-        if self.sample_rtt > 1:
-            self.ramping = False
-        elif self.ramping:
+        binds = carried >= (0.5 if self.ramping else RAMP_AGAIN) * self.limit
+        quick = self.sample_rtt <= 1 and (self.ramping or (binds and before <= 1))
+        if quick:
             span = min(span, int(RAMP_RTTS * self.latency_sum / count))
-            self.ramping = carried >= 0.5 * self.limit
+        self.ramping = quick and binds
         self.flight_sum = self.latency_sum = 0
         if self.sample_rtt <= 1 and (carried > self.usual or carried < 0.8 * self.limit):
             self.usual += min(1.0, age / max(span, 1)) * (carried - self.usual)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -212,6 +212,16 @@
     assert not c.ramping and c.usual == pytest.approx(10.0)
 
 
+def test_a_copy_whose_traffic_doubles_in_good_time_follows_within_round_trips():
+    """Its neighbour is sent away: over USUAL_TIME it would refuse a part of what it could carry."""
+    c = after_pass(allowance=200_000, limit=100.0, in_flight=40, usual=40.0, ramping=False)
+    fill(c, 100_000)  # the limit does not bind: as slowly as ever
+    assert not c.ramping and c.usual == pytest.approx(40.0)
+    c.limit, c.in_flight = 100.0, 80
+    fill(c, 100_000, start=1000 + WINDOW)
+    assert c.ramping and c.usual == pytest.approx(60.0)
+
+
 def test_failures_are_overload_where_calls_are_late_too_or_most_are_lost():
     """Peers that spoil one answer in ten are not overloaded; tiers below that jam are late as well."""
     losing = {
