Large answers hold little each where many pass: two processes stay within the memory limit

Uploads are counted against a bound, answers were not: a caller's write buffer took 64 KiB and one more read of up to 128 KiB.

Change: what passes has a budget (an eighth of the memory, half of it while two processes run). The kernel's buffer of each answer is its part of that, 16 to 64 KiB; an answer begins with the small one where memory is scarce for the descriptors; a caller's connection pauses its server at the first byte that the kernel does not take. Where another process may come a quarter of the bound on uploads is kept for it.

--- a/harecross/core/bodies.py
+++ b/harecross/core/bodies.py
@@ -10,6 +10,18 @@
     1 << 12
 )  # of one body, and one more for each of the bytes below: a byte each costs more than it brings
 CHUNK_LEAST = 16
+# The kernel's buffer for one large answer, as it is asked for. Below the least, a window is smaller than one
+# segment of a loopback interface, and its sender waits 0.2 s for each acknowledgement.
+STREAM_LEAST, STREAM_MOST = 1 << 14, 1 << 16
+
+
+def stream_buffer(budget: int, streams: int) -> int:
+    """How much the kernel may take of one large answer, so that all of them fit in `budget` bytes here.
+
+    It grants twice what it is asked for (socket(7)), and a connection is read to its buffer's end at once: so
+    much of an answer stands in this process while its caller does not take it.
+    """
+    return max(STREAM_LEAST, min(STREAM_MOST, budget // (2 * max(1, streams))))
 
 
 def too_many(chunks: int, size: int) -> bool:
--- a/harecross/core/servers.py
+++ b/harecross/core/servers.py
@@ -12,15 +12,16 @@
 from typing import cast
 
 from harecross.core.answers import Answer, Reading, read_report, report_places
-from harecross.core.bodies import Upload
+from harecross.core.bodies import STREAM_MOST, Upload, stream_buffer
 from harecross.core.requests import HOST
 from harecross.core.room import Room
 from harecross.interface import Outcome
 
 IDLE_MARGIN = 1_500_000  # an idle connection is dropped so long before the server would close it
 NEVER = 1 << 62  # no time at all
+PASSING = 1 << 25  # bytes of large answers that may stand here, where nothing else is told
+CROWD = 4  # one in so many descriptors may be a large answer that begins
 STALLED = 6_000_000  # a large body that its server neither takes nor gives on for so long is given up
-BUFFER = 1 << 16  # of the kernel for what a server sends, of which it takes twice as much
 
 
 def clock() -> int:
@@ -117,6 +118,7 @@
         "stuck",
         "held",
         "moved",
+        "buffer",
     )
 
     def __init__(self, pool: Servers, target: Target) -> None:
@@ -132,6 +134,7 @@
         self.stuck = False  # the server does not take what was written
         self.held = False  # the caller does not take what the server sent
         self.moved = 0  # when a large body last went on
+        self.buffer = 0  # of the kernel for what the server sends, as asked for
 
     # ---- asyncio --------------------------------------------------------------------------------------
 
@@ -139,9 +142,8 @@
         self.transport = cast(asyncio.Transport, transport)
         # With no room in the buffer a write is tried at once, and a pause tells that bytes have not left.
         self.transport.set_write_buffer_limits(high=0)
-        sock = self.transport.get_extra_info("socket")
         # Guards against: what a caller takes slowly piles up by the megabyte in the kernel.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+        self.narrow(self.pool.first)
 
     def pause_writing(self) -> None:
         self.stuck = True
@@ -194,11 +196,20 @@
             if exchange.timer is not None:
                 exchange.timer.cancel()
             self.pool.streams.add(self)
+            self.pool.fit_buffers()
+            self.narrow(self.pool.buffer)
         part = answer.take()
         if part:
             exchange.part(part)
         return self.exchange is exchange  # its caller may have gone over this
 
+    def narrow(self, size: int) -> None:
+        """How much the kernel takes of what the server sends."""
+        if self.transport is not None and size != self.buffer:
+            self.buffer = size
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def hold(self, on: bool) -> None:
         """Reads no more of the answer for now, or goes on."""
         if self.held == on or self.transport is None:
@@ -231,6 +242,7 @@
         self.exchange = exchange
         exchange.conn = self
         self.answer = Answer()
+        self.narrow(self.pool.first)
         upload = exchange.upload
         if upload is not None:
             self.sent, self.rest, self.moved = False, True, now
@@ -345,6 +357,10 @@
         self.targets: dict[int, Target] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.streams: set[Connection] = set()  # those that carry a large body
+        self.passing_most = 0  # bytes of large answers that may stand here, all together
+        self.buffer = STREAM_MOST  # the kernel's for each of them, as last set
+        self.first = STREAM_MOST  # and for any answer, until it is known to be large
+        self.set_passing(PASSING)
 
     @property
     def open(self) -> int:
@@ -513,6 +529,27 @@
             conn.discard()
         self.end(exchange, outcome)
 
+    def set_passing(self, most: int) -> None:
+        """Bounds what large answers may hold here, in bytes; what has begun keeps to it after the next sweep.
+
+        Guards against: a crowd of answers begins at once, each with the buffer of a single one.
+        """
+        if most != self.passing_most:
+            self.passing_most = most
+            self.first = stream_buffer(most, self.room.total // CROWD)
+
+    def fit_buffers(self) -> None:
+        """Makes the kernel's buffers smaller where many large bodies pass, and larger again where few do.
+
+        Guards against: hundreds of slow callers, each with an answer's buffer of the time when there were few.
+        """
+        buffer = stream_buffer(self.passing_most, len(self.streams))
+        if self.buffer // 2 < buffer < 2 * self.buffer:
+            return
+        self.buffer = buffer
+        for conn in self.streams:
+            conn.narrow(buffer)
+
     def sweep(self) -> None:
         """Drops connections that have stood idle almost as long as the server allows.
 
@@ -520,6 +557,7 @@
         for the caller is not the server's doing.
         """
         now = clock()
+        self.fit_buffers()
         for conn in [c for c in self.streams if now - c.moved > STALLED]:
             if conn.exchange is not None and not conn.held and (conn.stuck or not conn.rest):
                 conn.lost()
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -45,6 +45,16 @@
         return 16
 
 
+def bodies_part(whole: int, processes: int, shared: bool) -> int:
+    """What one process may hold of callers' bodies, in bytes.
+
+    Where another one may come, a quarter is kept for it: what is held already cannot be given back then.
+    """
+    if processes > 1:
+        return whole // 4
+    return whole * 3 // 4 if shared else whole
+
+
 class Beside(Protocol):
     """A service that runs in the node's process and reads what it knows."""
 
@@ -84,7 +94,10 @@
         self.discovery = Discovery(self.directory, config.discovery, settings.list_on_request)
         self.host.on_watch, self.host.on_fetch = self.discovery.listen, self.discovery.fetch
         reader = Reader(settings, config.classes, config.tenants)
-        self.callers = Callers(self.host, reader, self.room, held_most=self.bodies)
+        self.callers = Callers(
+            self.host, reader, self.room, bodies_part(self.bodies, 1, inherited is not None)
+        )
+        self.servers.set_passing(self.bodies // 2)
         self.operations = None
         if config.admin is not None:
             self.operations = Operations(
@@ -162,7 +175,8 @@
         """Guards against: two processes that each take all that one may hold are over the limit together."""
         parts = 2 if self.others() else 1
         self.room.total = self.whole // parts
-        self.callers.held_most = self.bodies // parts
+        self.callers.held_most = bodies_part(self.bodies, parts, self.inherited is not None)
+        self.servers.set_passing(self.bodies // 2 // parts)
 
     def reload(self) -> None:
         """SIGHUP: the configuration is read again. Only `discovery` can change while the node runs."""
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -424,6 +424,8 @@
         framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else b""
         if length is not None:
             framing = b"Content-Length: %d\r\n" % length
+        # Guards against: what the kernel does not take piles up here, beside what it holds.
+        self.transport.set_write_buffer_limits(high=0)
         sock = self.transport.get_extra_info("socket")
         # Guards against: megabytes for a slow caller wait in the kernel.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -15,9 +15,10 @@
 
 from harecross.core import servers
 from harecross.core.answers import Answer, Reading
-from harecross.core.bodies import BODY_LARGEST, BODY_MOST, Upload
+from harecross.core.bodies import BODY_LARGEST, BODY_MOST, STREAM_LEAST, STREAM_MOST, Upload, stream_buffer
 from harecross.interface import Outcome
 from harecross.node import callers
+from harecross.node.__main__ import bodies_part
 from harecross.standins.http import read_body, read_message
 
 BIG = bytes(i * 7 % 251 for i in range(300_000))
@@ -358,6 +359,60 @@
     with_peers(test, pours)
 
 
+def test_many_slow_callers_hold_little_each_and_a_single_one_its_whole_buffer():
+    async def pours(reader, writer) -> None:
+        try:
+            while True:
+                await read_message(reader)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n" + b"x" * 3_000_000)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def test(w) -> None:
+        pool = w.node.servers
+        pool.set_passing(1 << 20)
+        assert pool.first == STREAM_LEAST
+        clients = []
+        for _ in range(40):
+            client = await w.client()
+            client.send()
+            clients.append(client)
+        held = list(pool.streams)
+        while len(held) < 15 or not all(c.held for c in held):
+            await asyncio.sleep(0.01)
+            held = list(pool.streams)
+        here = [c.transport.get_write_buffer_size() for c in w.node.callers.open if c.transport is not None]
+        assert max(here) <= 3 * STREAM_LEAST and pool.buffer == STREAM_LEAST
+        for client in clients:
+            client.writer.transport.abort()
+        await until(lambda: not pool.streams)
+        pool.sweep()
+        assert pool.buffer == STREAM_MOST
+        # With room for it a single answer has the whole buffer again, and comes whole.
+        client = await w.client()
+        client.send()
+        assert len((await client.answer())[2]) == 3_000_000
+        client.writer.close()
+
+    with_peers(test, pours, pours)
+
+
+@given(st.integers(0, 1 << 40), st.integers(0, 5000))
+def test_a_stream_s_buffer_is_its_part_of_the_budget_within_bounds(budget, streams):
+    buffer = stream_buffer(budget, streams)
+    assert STREAM_LEAST <= buffer <= STREAM_MOST
+    assert buffer == STREAM_LEAST or 2 * buffer * streams <= budget
+    assert stream_buffer(budget, streams + 1) <= buffer <= stream_buffer(budget + 1, streams)
+
+
+def test_two_processes_hold_no_more_of_bodies_than_one_may():
+    for whole in (0, 7, 20 << 20):
+        assert (
+            bodies_part(whole, 1, True) + bodies_part(whole, 2, True) <= whole == bodies_part(whole, 1, False)
+        )
+
+
 def taking(heads: list[bytes], bodies: list[bytes], reply: bytes = b"ok") -> Peer:
     async def peer(reader, writer) -> None:
         try:
