A resolver for SRV names: lookups, lifetimes and sets as machines free of I/O, and its sockets

Change: harecross/dns (message, servers, lookup, srv, lifetime, client), a scripted DNS server over UDP and TCP, harecross dns query, the extra dns (dnspython, for the message format alone).

Found on the way: dnspython sends EDNS whenever a payload size is named, so a server without it was asked the same again; a set none of whose addresses could be looked up passed for empty.

A test of the control service's workers fails now where a child dies of a signal that nobody sent.

--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -10,6 +10,7 @@
 
 import typer
 
+from harecross.dns.cli import dns_app
 from harecross.doors.cli import door_app
 from harecross.exits import stop
 
@@ -25,6 +26,7 @@
 control_app = typer.Typer(invoke_without_command=True)
 app.add_typer(control_app, name="control")
 app.add_typer(door_app, name="door")
+app.add_typer(dns_app, name="dns")
 
 Files = Annotated[list[Path], typer.Argument(help="The trace's files, plain, .gz or .zst, in order.")]
 FormatName = Annotated[str | None, typer.Option("--format", help="In place of recognising it.")]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -34,6 +34,18 @@
 UNHEALTHY = 2
 
 
+@pytest.fixture(autouse=True)
+def no_child_dies_of_a_signal_that_nobody_sent(request, capfd):
+    """A worker that crashes is replaced, and its test would pass without a word."""
+    yield
+    out, err = capfd.readouterr()
+    sys.stderr.write(err)
+    assert "Fatal Python error" not in out + err
+    killed = "SIGKILL" if "killed" in request.node.name else "none"
+    for line in err.splitlines():
+        assert "was ended by" not in line or killed in line, line
+
+
 def text_of(
     catalogs: dict[str, Catalog], more: str = "", control: str = "", cluster: str = "", probe: str = "http"
 ) -> str:
--- /dev/null
+++ b/tests/test_dns.py
@@ -0,0 +1,463 @@
+"""The resolver: its machines against seeded servers that fail, then over sockets against a scripted one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from collections import Counter
+from contextlib import suppress
+from random import Random
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from node_support import run
+
+pytest.importorskip("dns")
+
+import dns.message  # noqa: E402
+import dns.resolver  # noqa: E402
+import dns.rrset  # noqa: E402
+
+from harecross.dns.client import Client, LookupFailed  # noqa: E402
+from harecross.dns.frames import Frames, framed  # noqa: E402
+from harecross.dns.lifetime import Lifetimes, Name, Standing  # noqa: E402
+from harecross.dns.lookup import WHOLE, Lookup  # noqa: E402
+from harecross.dns.message import BadMessage, Question, decode, plain  # noqa: E402
+from harecross.dns.servers import Servers  # noqa: E402
+from harecross.dns.srv import Endpoint, Found, Resolution  # noqa: E402
+from harecross.standins import dns as standin  # noqa: E402
+from harecross.standins.dns import DnsServer  # noqa: E402
+
+NAME = "_readings._tcp.site3.example.org."
+ZONE = "site3.example.org."
+
+
+# ---- bytes ------------------------------------------------------------------------------------------------
+
+
+@given(st.binary(max_size=300))
+@example(b"\x00\x01\x80\x00\x00\x01\x00\x00\x00\x00\x00\x00\xc0\x0c\x00\x21\x00\x01")
+def test_any_bytes_are_an_answer_or_the_protocol_error(data):
+    with suppress(BadMessage):
+        decode(data)
+
+
+@settings(max_examples=200)
+@given(st.data())
+def test_a_spoilt_answer_is_an_answer_or_the_protocol_error(data):
+    query = dns.message.make_query(NAME, "SRV")
+    reply = dns.message.make_response(query)
+    reply.answer.append(dns.rrset.from_text(NAME, 5, "IN", "SRV", f"0 1 80 a.{ZONE}", f"1 2 81 b.{ZONE}"))
+    reply.additional.append(dns.rrset.from_text(f"a.{ZONE}", 5, "IN", "A", "10.0.0.1"))
+    wire = bytearray(reply.to_wire())
+    for _ in range(data.draw(st.integers(1, 4))):
+        wire[data.draw(st.integers(0, len(wire) - 1))] = data.draw(st.integers(0, 255))
+    with suppress(BadMessage):
+        decode(bytes(wire[: data.draw(st.integers(0, len(wire)))]))
+
+
+@given(st.lists(st.binary(max_size=80), max_size=6), st.data())
+def test_any_split_of_a_stream_gives_the_same_messages(messages, data):
+    whole, frames, found = b"".join(map(framed, messages)), Frames(), []
+    while whole:
+        cut = data.draw(st.integers(1, len(whole)))
+        found += frames.feed(whole[:cut])
+        whole = whole[cut:]
+    assert found == messages and not frames.kept
+
+
+@pytest.mark.parametrize("bad", ["", ".", "a..b", "x" * 64 + ".org", "a." * 200])
+def test_what_is_no_name_is_refused(bad):
+    with pytest.raises(ValueError):
+        plain(bad)
+    assert plain("_A._tcp.Site3.example.ORG") == "_a._tcp.site3.example.org."
+
+
+# ---- one lookup, against servers that fail on a clock of their own -------------------------------------------
+
+
+def honest(data: bytes, **changes) -> bytes:
+    query = dns.message.from_wire(data)
+    reply = dns.message.make_response(query)
+    reply.answer.append(dns.rrset.from_text(NAME, 5, "IN", "SRV", f"0 1 80 a.{ZONE}", f"0 1 80 b.{ZONE}"))
+    return reply.to_wire()
+
+
+class Faults:
+    """Draws what becomes of each message; what it says it did stands in `seen`."""
+
+    KINDS = ("answer", "silence", "servfail", "other id", "other question", "truncated", "cut", "refused", "garbage",
+             "late", "formerr", "lame")  # fmt: skip
+
+    def __init__(self, rng: Random, good: float) -> None:
+        self.rng, self.good = rng, good
+        self.seen: Counter[str] = Counter()
+
+    def draw(self, send) -> tuple[float, str, bytes]:
+        """Seconds, then `data` or `broken`, and the message."""
+        kind = "answer" if self.rng.random() < self.good else self.rng.choice(self.KINDS)
+        if kind == "formerr" and b"\x00\x00\x29" not in send.data:
+            kind = "answer"  # only who is asked with EDNS does not know it
+        if kind == "cut" and send.transport == "udp":
+            kind = "refused"
+        if kind == "truncated" and send.transport == "tcp" and self.rng.random() < 0.8:
+            kind = "answer"
+        self.seen[kind] += 1
+        after, query = self.rng.uniform(0.001, 0.1), dns.message.from_wire(send.data)
+        reply = dns.message.make_response(query)
+        if kind in ("silence",):
+            return 1e9, "data", b""
+        if kind in ("cut", "refused"):
+            return after, "broken", b""
+        if kind == "late":
+            return self.rng.uniform(0.5, 4), "data", honest(send.data)
+        if kind == "servfail":
+            reply.set_rcode(2)
+        elif kind == "formerr":
+            reply.set_rcode(1)
+        elif kind == "truncated":
+            reply.answer.append(dns.rrset.from_text(NAME, 5, "IN", "SRV", f"0 1 80 a.{ZONE}"))
+            reply.flags |= 0x0200
+        elif kind == "lame":
+            reply.authority.append(dns.rrset.from_text("org.", 5, "IN", "NS", "ns.org."))
+        elif kind == "other question":
+            wire = honest(send.data).replace(b"site3", b"site4")
+            return after, "data", wire
+        data = honest(send.data) if kind in ("answer", "other id", "garbage") else reply.to_wire()
+        if kind == "other id":
+            data = bytes([data[0] ^ 1]) + data[1:]
+        return after, "data", data[: len(data) // 2] if kind == "garbage" else data
+
+
+def test_whatever_servers_do_a_lookup_ends_in_time_with_the_whole_set_or_a_failure():
+    ends: Counter[str] = Counter()
+    seen: Counter[str] = Counter()
+    for seed in range(1200):
+        rng = Random(seed)
+        faults = Faults(rng, rng.choice([0.0, 0.3, 0.8]))
+        servers = Servers([f"10.0.0.{i}:53" for i in range(rng.choice([1, 2, 3]))], rng)
+        now, queue = 0.0, []
+        lookup = Lookup(Question(NAME, "SRV"), servers, rng, now)
+
+        def do(now, todo, queue=queue, faults=faults):
+            for send in todo:
+                after, what, data = faults.draw(send)
+                queue.append((now + after, send.number, what, data))
+
+        do(now, lookup.begin(now))
+        while not lookup.over:
+            due = min([lookup.due, *(q[0] for q in queue)])
+            assert due <= WHOLE + 0.01, seed
+            now = max(now, due)
+            for item in sorted(q for q in queue if q[0] <= now):
+                queue.remove(item)
+                _, number, what, data = item
+                do(
+                    now,
+                    lookup.received(now, number, data)
+                    if what == "data"
+                    else lookup.broken(now, number, "cut"),
+                )
+            do(now, lookup.tick(now))
+        assert now <= WHOLE + 0.01
+        if lookup.reply is not None:
+            assert len(lookup.reply.answers) == 2, "a part of a set is no set"
+            assert lookup.reply.question == lookup.question
+        ends["answer" if lookup.reply is not None else "failure"] += 1
+        seen += faults.seen
+    assert min(ends.values()) > 100 and min(seen[k] for k in Faults.KINDS) > 5, (ends, seen)
+
+
+def test_a_server_that_failed_stands_behind_and_comes_back():
+    rng = Random(1)
+    servers = Servers(["a:1", "b:1"], rng)
+    first = servers.all[0]
+    first.failed(0.0)
+    assert Counter(servers.order(1.0)[0].address for _ in range(200))["b:1"] > 180
+    for _ in range(9):
+        first.failed(0.0)
+    assert first.behind_until == 60.0
+    for _ in range(30):
+        servers.all[1].answered(1.0)
+    assert Counter(servers.order(61.0)[0].address for _ in range(200))["a:1"] > 180
+
+
+# ---- from records to endpoints --------------------------------------------------------------------------------
+
+
+def resolved(server: DnsServer, name: str = NAME, fail: frozenset[str] = frozenset()) -> Found:
+    """The set that a server's records make, without sockets."""
+    resolution = Resolution(plain(name))
+    for _ in range(100):
+        if resolution.over:
+            return resolution.result()
+        for q in resolution.questions():
+            if q.name in fail:
+                resolution.could_not(q, "no answer")
+                continue
+            (data,) = server.answer(dns.message.make_query(q.name, q.kind, use_edns=0, payload=1232), "tcp")
+            resolution.answered(q, decode(data))
+    raise AssertionError("it never ends")
+
+
+def site(*targets: str, ttl: int = 5) -> DnsServer:
+    server = DnsServer()
+    server.put(NAME, "SRV", *(f"0 {i + 1} 80{i} {t}.{ZONE}" for i, t in enumerate(targets)), ttl=ttl)
+    for i, t in enumerate(targets):
+        server.put(f"{t}.{ZONE}", "A", f"10.0.0.{i + 1}", ttl=ttl)
+    return server
+
+
+def test_addresses_beside_the_answer_are_taken_within_the_zone_and_asked_for_outside():
+    for additional in (True, False):
+        server = site("a", "b")
+        server.additional = additional
+        server.put(f"b.{ZONE}", "AAAA", "2001:db8::1")
+        found = resolved(server)
+        assert [(e.address, e.port, e.weight) for e in found.endpoints] == [
+            ("10.0.0.1", 800, 1), ("10.0.0.2", 801, 2), ("2001:db8::1", 801, 2)]  # fmt: skip
+        assert (server.asked[f"a.{ZONE}", "A", "tcp"] == 0) == additional
+    server = site("a")
+    server.put(NAME, "SRV", "0 1 80 www.elsewhere.example.")
+    server.put("www.elsewhere.example.", "A", "10.9.9.9", ttl=3)
+    found = resolved(server)
+    assert server.asked["www.elsewhere.example.", "A", "tcp"] == 1 and found.ttl == 3
+    assert any("not believed: outside site3.example.org." in n for n in found.notes)
+
+
+def test_aliases_are_followed_with_a_bound_and_said_and_loops_end():
+    server = site("a")
+    server.additional = False
+    server.remove(f"a.{ZONE}", "A")
+    server.put(f"a.{ZONE}", "CNAME", f"b.{ZONE}", ttl=2)
+    server.put(f"b.{ZONE}", "A", "10.0.0.7", "10.0.0.8")
+    found = resolved(server)
+    assert [e.address for e in found.endpoints] == ["10.0.0.7", "10.0.0.8"] and found.ttl == 2
+    assert found.endpoints[0].target == f"a.{ZONE}" and any(
+        "which RFC 2782 forbids" in n for n in found.notes
+    )
+    server.remove(f"b.{ZONE}", "A")
+    server.put(f"b.{ZONE}", "CNAME", f"a.{ZONE}")
+    assert resolved(server).empty == "no target has an address"
+    # The name itself may be an alias, of another zone too; there its own additional records are believed.
+    server = site("a")
+    server.put("_r._tcp.alias.example.org.", "CNAME", NAME)
+    assert [e.address for e in resolved(server, "_r._tcp.alias.example.org.").endpoints] == ["10.0.0.1"]
+
+
+@pytest.mark.parametrize(
+    ("records", "empty"),
+    [
+        ((), "NXDOMAIN"),
+        (("0 0 0 .",), "no service (target .)"),
+        ((f"0 0 80 none.{ZONE}",), "no target has an address"),
+    ],
+)
+def test_a_name_that_holds_nothing_says_why(records, empty):
+    server = DnsServer()
+    if records:
+        server.put(NAME, "SRV", *records)
+    assert resolved(server).empty == empty and not resolved(server).endpoints
+
+
+def test_a_target_that_cannot_be_looked_up_keeps_the_address_it_had():
+    server = site("a", "b")
+    server.additional = False
+    name = Name(Lifetimes(), Random(1), 0.0)
+    name.answered(0.0, resolved(server))
+    whole = name.view(0.0).endpoints
+    found = resolved(server, fail=frozenset({f"b.{ZONE}"}))
+    assert len(found.endpoints) == 1 and found.unknown == (f"b.{ZONE}",) and not found.empty
+    name.answered(1.0, found)
+    assert name.view(1.0).endpoints == whole and name.view(1.0).left <= 2
+    fresh = Name(Lifetimes(), Random(1), 0.0)
+    fresh.answered(0.0, resolved(server, fail=frozenset({f"a.{ZONE}", f"b.{ZONE}"})))
+    assert fresh.view(0.0).standing == Standing.UNKNOWN and fresh.failures == 1
+
+
+# ---- lifetimes, over virtual days -------------------------------------------------------------------------------
+
+
+def test_over_virtual_days_a_set_is_never_emptied_by_failure_nor_before_the_doubt_is_over():
+    """Each step: a good answer, an empty one or none, in runs; the model beside it is a few lines."""
+    limits = Lifetimes(stale_max=3600, doubt=30)
+    seen: Counter[Standing] = Counter()
+    for seed in range(150):
+        rng = Random(seed)
+        name, now = Name(limits, rng, 0.0), 0.0
+        good_at, empty_since, mode, until, had = None, None, "good", 0.0, False
+        while now < 6 * 3600:
+            if now >= until:
+                mode = rng.choice(["good", "good", "fail", "empty"])
+                until = now + rng.choice([5, 40, 600, 7200])
+            now = max(now, name.ask_at)
+            assert name.due(now)
+            name.asked()
+            assert not name.due(now)
+            before = name.view(now)
+            if mode == "good":
+                name.answered(
+                    now, Found((Endpoint(0, "a", "10.0.0.1", 80, 1),), rng.choice([0, 5, 2**31 - 1]))
+                )
+                good_at, empty_since, had = now, None, True
+                assert limits.floor - 1e-6 <= name.view(now).left <= limits.ceiling + 1e-6
+            elif mode == "empty":
+                name.answered(now, Found((), 5.0, "NXDOMAIN"))
+                empty_since = now if empty_since is None else empty_since
+            else:
+                name.could_not(now, "no answer")
+            view = name.view(now)
+            seen[view.standing] += 1
+            assert now < name.ask_at <= now + limits.ceiling, "it is asked again, and not at once"
+            if before.endpoints and not view.endpoints:
+                expired = good_at is not None and before.left < -limits.stale_max + 31
+                doubted = empty_since is not None and now - empty_since >= limits.doubt
+                assert (mode == "empty" and doubted) or expired, (seed, now, mode, before, view)
+            if mode == "empty" and had and empty_since is not None and now - empty_since > limits.doubt:
+                assert not view.endpoints, "it is believed in the end"
+            if view.standing == Standing.EMPTY:
+                had = False
+    assert set(seen) >= {
+        Standing.FRESH,
+        Standing.DOUBTED,
+        Standing.STALE,
+        Standing.EMPTY,
+        Standing.EXPIRED,
+    }, seen
+
+
+def test_a_thousand_instances_ask_evenly():
+    names = [Name(Lifetimes(), Random(i), 0.0) for i in range(1000)]
+    asked: Counter[int] = Counter()
+    for now in range(0, 1200):
+        for n in names:
+            if n.due(now):
+                n.asked()
+                n.answered(float(now), Found((Endpoint(0, "a", "10.0.0.1", 80, 1),), 60.0))
+                asked[now] += 1
+    later = [asked[t] for t in range(600, 1200)]
+    assert max(later) < 2.5 * sum(later) / len(later)
+
+
+# ---- over sockets -------------------------------------------------------------------------------------------------
+
+
+def with_servers(test, count: int = 1) -> None:
+    async def body() -> None:
+        servers = [await DnsServer().start() for _ in range(count)]
+        client = Client([s.address for s in servers], Random(7))
+        try:
+            await test(client, *servers)
+        finally:
+            await client.close()
+            for s in servers:
+                s.stop()
+
+    run(body())
+
+
+def fill(server: DnsServer, count: int) -> set[tuple[str, int]]:
+    server.put(NAME, "SRV", *(f"0 1 {1000 + i} t{i}.{ZONE}" for i in range(count)))
+    for i in range(count):
+        server.put(f"t{i}.{ZONE}", "A", f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}")
+    return {(f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}", 1000 + i) for i in range(count)}
+
+
+def pairs(found: Found) -> set[tuple[str, int]]:
+    return {(e.address, e.port) for e in found.endpoints}
+
+
+def test_a_large_set_comes_whole_over_tcp_and_the_connection_is_used_again():
+    async def test(client: Client, server: DnsServer) -> None:
+        for count in (3, 400):
+            wanted = fill(server, count)
+            assert pairs(await client.resolve(NAME)) == wanted
+        assert server.asked[NAME, "SRV", "udp"] == 2 and server.asked[NAME, "SRV", "tcp"] == 1
+        # Addresses that did not fit beside it were asked for, many at once; one question for who asks together.
+        before = server.asked.total()
+        found = await asyncio.gather(*(client.resolve(NAME) for _ in range(5)))
+        assert all(pairs(f) == wanted for f in found) and server.connections == 1
+        assert server.asked[NAME, "SRV", "udp"] == 3 and server.asked.total() - before < 3 * (2 + 400)
+
+    with_servers(test)
+
+
+@pytest.mark.parametrize("fault", ["forged", "no_edns", "always_truncated"])
+def test_servers_with_faults_that_can_be_lived_with_give_the_whole_set(fault):
+    async def test(client: Client, server: DnsServer) -> None:
+        wanted = fill(server, 5)
+        server.faults.append(getattr(standin, fault))
+        assert pairs(await client.resolve(NAME)) == wanted
+        if fault == "no_edns":
+            asked = server.asked[NAME, "SRV", "udp"]
+            assert pairs(await client.resolve(NAME)) == wanted
+            assert server.asked[NAME, "SRV", "udp"] == asked + 1, "what it does not know is remembered"
+
+    with_servers(test)
+
+
+@pytest.mark.parametrize("fault", ["silent", "servfail", "refused", "lame", "loop", "cut", "dead"])
+def test_a_second_server_answers_for_one_that_fails_and_alone_it_is_a_failure(fault):
+    async def test(client: Client, bad: DnsServer, good: DnsServer) -> None:
+        wanted = fill(good, 4)
+        fill(bad, 4)
+        made = {
+            "silent": standin.silent, "servfail": standin.rcode(2), "refused": standin.rcode(5), "lame": standin.lame,
+            "loop": standin.compression_loop, "cut": standin.always_truncated, "dead": None,
+        }[fault]  # fmt: skip
+        if made is None:
+            bad.stop()
+        else:
+            bad.faults.append(made)
+        bad.cut_tcp = 20
+        assert pairs(await client.resolve(NAME)) == wanted
+        alone = Client([bad.address], Random(1))
+        try:
+            with pytest.raises(LookupFailed, match=bad.address):
+                await alone.resolve(NAME)
+        finally:
+            await alone.close()
+
+    with_servers(test, 2)
+
+
+def test_a_client_that_is_not_ours_reads_the_same_sets():
+    async def test(client: Client, server: DnsServer) -> None:
+        host, port = server.address.split(":")
+
+        def theirs() -> set[tuple[str, int]]:
+            other = dns.resolver.Resolver(configure=False)
+            other.nameservers, other.port, other.lifetime = [host], int(port), 10
+            rows = other.resolve(NAME, "SRV")
+            return {(other.resolve(r.target, "A")[0].address, r.port) for r in rows}
+
+        for count in (1, 60):
+            wanted = fill(server, count)
+            assert await asyncio.to_thread(theirs) == pairs(await client.resolve(NAME)) == wanted
+
+    with_servers(test)
+
+
+def test_the_command_tells_the_set_and_why_there_is_none():
+    async def test(client: Client, server: DnsServer) -> None:
+        fill(server, 2)
+
+        async def query(*words: str) -> tuple[int, str, str]:
+            command = [sys.executable, "-m", "harecross", "dns", "query", *words]
+            done = await asyncio.to_thread(subprocess.run, command, capture_output=True, text=True)
+            return done.returncode, done.stdout, done.stderr
+
+        code, out, _ = await query(NAME, "--resolver", server.address, "--json")
+        assert code == 0 and [e["port"] for e in json.loads(out)["endpoints"]] == [1000, 1001]
+        code, out, _ = await query(NAME, "--resolver", server.address)
+        assert code == 0 and "10.0.0.1" in out
+        code, _, err = await query("_none._tcp.site3.example.org", "--resolver", server.address)
+        assert code == 1 and "NXDOMAIN" in err
+        for words in (("a..b", "--resolver", server.address), (NAME, "--resolver", "localhost:53")):
+            code, _, err = await query(*words)
+            assert code == 2 and "Traceback" not in err and len(err.splitlines()) == 1
+
+    with_servers(test)
