--- a/tests/test_dns.py
+++ b/tests/test_dns.py
@@ -320,6 +320,8 @@
                 assert (mode == "empty" and doubted) or expired, (seed, now, mode, before, view)
             if mode == "empty" and had and empty_since is not None and now - empty_since > limits.doubt:
                 assert not view.endpoints, "it is believed in the end"
+            if mode == "empty" and view.standing == Standing.DOUBTED:
+                assert name.ask_at <= empty_since + limits.doubt + 1e-6, "it is asked at the end of the doubt"
             if view.standing == Standing.EMPTY:
                 had = False
     assert set(seen) >= {
