--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -17,7 +17,7 @@
 from harecross.core.answers import Answer, Reading
 from harecross.core.bodies import BODY_LARGEST, BODY_MOST, STREAM_LEAST, STREAM_MOST, Upload, stream_buffer
 from harecross.interface import Outcome
-from harecross.node import callers
+from harecross.node import caller, callers
 from harecross.node.__main__ import bodies_part
 from harecross.standins.http import read_body, read_message
 
@@ -526,6 +526,7 @@
 
 def test_a_body_that_stops_half_way_ends_its_request(monkeypatch):
     monkeypatch.setattr(callers, "OWED", 100_000)
+    monkeypatch.setattr(caller, "OWED", 100_000)
     heads: list[bytes] = []
 
     async def test(w) -> None:
@@ -542,6 +543,7 @@
 
 def test_a_body_by_the_byte_is_cut_off(monkeypatch):
     monkeypatch.setattr(callers, "OWED", 60_000)
+    monkeypatch.setattr(caller, "OWED", 60_000)
 
     async def test(w) -> None:
         client = await w.client()
@@ -593,7 +595,7 @@
 
 
 def test_a_body_beyond_the_largest_is_turned_away(monkeypatch):
-    monkeypatch.setattr(callers, "BODY_LARGEST", 200_000)
+    monkeypatch.setattr(caller, "BODY_LARGEST", 200_000)
     bodies: list[bytes] = []
 
     async def test(w) -> None:
