Servers replaced before they are warm get what is asked; a mute watch is found in 1 s

Nodes of the tier above refused 60% (served 8 of 20 a second, rq_blocked 0, in_flight 0 to 1 of 5), and the tiers above took those errors for overload and closed to their floor. Ruled out: the limit, ejection, zones, descriptors. At fault: each_window, where an even part of what is asked, times 0.75 and warmth, stands in for good.

A pushed watch now has 1 s for its first word, and 2.5 s without a line (one comes each 2 s).

--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -16,7 +16,8 @@
 from harecross.interface import ListKind, ServerEntry, State
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENCE = 3.0  # seconds; an empty line comes every 2
+SILENCE = 2.5  # seconds; an empty line comes every 2
+FIRST_WORD = 1.0  # seconds for a watch that is pushed to say anything: its agent answers at once
 BACKOFF_FIRST, BACKOFF_MOST = 0.05, 0.5
 CONNECT = 1.0
 LINE_MOST = 1 << 22
@@ -211,6 +212,7 @@
         self.buffer = b""
         self.ended = asyncio.get_running_loop().create_future()
         self.heard = time.monotonic()
+        self.patience = SILENCE if watch.discovery.asked else FIRST_WORD
         self.good = False  # an answer has brought something usable
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -221,7 +223,7 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        self.heard = time.monotonic()
+        self.heard, self.patience = time.monotonic(), SILENCE
         try:
             self.parser.feed_data(data)
         except HttpParserError as e:
@@ -317,9 +319,11 @@
         try:
             async with asyncio.timeout(CONNECT):
                 await self.discovery.loop.create_connection(lambda: stream, *self.address)
-            # Guards against: a machine that has gone leaves the connection open and silent.
+            # Guards against: a machine that has gone leaves the connection open and silent; and two silent
+            # watches in a row outlast the time after which a change is binding.
+            stream.heard = time.monotonic()
             while not stream.ended.done():
-                left = stream.heard + SILENCE - time.monotonic()
+                left = stream.heard + stream.patience - time.monotonic()
                 if left <= 0:
                     say("discovery: silent")
                     break
--- a/harecross/policy/draw.py
+++ b/harecross/policy/draw.py
@@ -127,9 +127,8 @@
         """
         if srv.cold_until <= now:
             return True
-        srv.tokens = min(
-            1.0, srv.tokens + self.warm_rate * self.warmth(now, srv) * (now - srv.tokens_at) / 1e6
-        )
+        rate = self.warm_rate * self.warmth(now, srv)
+        srv.tokens = min(1.0, srv.tokens + rate * (now - srv.tokens_at) / 1e6)
         srv.tokens_at = now
         if srv.tokens < 1:
             return False
--- a/harecross/policy/health.py
+++ b/harecross/policy/health.py
@@ -5,16 +5,15 @@
 from collections.abc import Sequence
 
 from harecross.interface import Outcome
-from harecross.policy.controller import PASS_JITTER
+from harecross.policy.controller import LATE_MOST, LOST_LATE, PASS_JITTER
 from harecross.policy.members import FADE, Server
 from harecross.policy.state import Copy, Request
 
 SMOOTH = 0.1  # weight of the newest sample in a server's averages
 SMOOTH_REPORT = 0.5  # weight of the newest load report: a report is an average already
 LARGEST_COST = 1e9  # a report above it cannot be true
-UTIL_ROOM = (
-    0.5  # a call costs 1/UTIL_ROOM at a fully busy server, 1/(1+UTIL_ROOM) at an idle one: more oscillates
-)
+# A call costs 1/UTIL_ROOM at a fully busy server, 1/(1+UTIL_ROOM) at an idle one: more oscillates.
+UTIL_ROOM = 0.5
 SMOOTH_KIND = 0.05  # the same for the averages of a kind of machine, once it has answered a few calls
 FASTEST, SLOWEST = 0.25, 8.0  # one round-trip counts between these multiples of the mean
 SMOOTH_ALL = 0.02  # the same for averages over the whole subset
@@ -23,6 +22,7 @@
 EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
 EJECT_TIME = 2_000_000  # first ejection; doubles up to 16 times
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
+COLD_GROWS = 2_000_000  # over so long that part doubles while calls are answered in good time
 COLD_PART = 0.25  # of the multiple at which a cold server falls over, where no member is warm
 FAIL_PRIOR = 2  # a member's first outcomes count as if so many good ones had come before
 SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
@@ -224,9 +224,7 @@
         """Slow bookkeeping, at most once a window: warm rate, class ranks, spill between zones."""
         span = now - self.spill_at
         self.spill_at = now
-        warm = 0
-        for m in self.members:
-            warm += m.cold_until <= now and not m.ejected
+        warm = sum(m.cold_until <= now and not m.ejected for m in self.members)
         rate = -1.0
         if warm:
             rate = self.warm_sent * 1e6 / span / warm
@@ -234,8 +232,14 @@
             # Failure prevented: after a mass restart no member is warm, none may be sent anything, and all
             # is refused until the warm-up has passed. An even part of what is asked for stands in, small
             # enough that, asked for by every copy and with clients that retry, no cold server falls over.
-            part = min(1.0, COLD_PART * self.settings.fall_multiple)
-            rate = part * self.asked * 1e6 / span / len(self.members)
+            # Where servers are replaced before they are warm it would refuse for good: it grows while calls
+            # are answered in good time, up to the multiple at which a server falls over.
+            rate = self.cold_part * self.asked * 1e6 / span / len(self.members)
+        ctl, most = self.controller, self.settings.fall_multiple
+        part = min(1.0, COLD_PART * most)
+        if not warm and ctl.late <= LATE_MOST and ctl.lost <= LOST_LATE:
+            part = min(most, max(part, self.cold_part * (1 + min(span / COLD_GROWS, 0.5))))
+        self.cold_part = part
         if rate >= 0:
             self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
         self.warm_sent = self.asked = 0
--- a/harecross/policy/state.py
+++ b/harecross/policy/state.py
@@ -83,6 +83,7 @@
         self.rank = [0] * classes
         self.warm_rate = 0.0  # sends a second to a warm member, smoothed
         self.warm_sent = 0
+        self.cold_part = 0.0  # of an even part of what is asked for: what members may get while all are cold
         self.asked = 0  # requests since the last window
         self.list_failures = 0
         self.blocked = 0  # rq_blocked
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,11 +16,13 @@
 import pytest
 from node_support import (
     SETTINGS,
+    WAIT,
     Arrived,
     Catalog,
     Client,
     Origin,
     World,
+    config_of,
     entry,
     line,
     run,
@@ -29,6 +31,7 @@
     with_node,
 )
 
+from harecross.core import discovery
 from harecross.core.answers import Answer, read_report, report_places
 from harecross.core.discovery import Directory
 from harecross.core.host import Request
@@ -37,9 +40,12 @@
 from harecross.core.servers import Connection, Exchange, Servers, clock
 from harecross.interface import ListKind, Outcome, State
 from harecross.node import callers
+from harecross.node.__main__ import Node
+from harecross.node.config import config_from
 from harecross.policy import balancer
 from harecross.policy.balancer import Balancer
 from harecross.policy.controller import GradientController
+from harecross.standins.discovery import chunk
 
 ROOT = Path(__file__).parent.parent
 
@@ -1243,3 +1249,34 @@
     _, text = process.communicate(timeout=60)
     assert process.returncode == 2
     assert len(text.splitlines()) == 1 and text.startswith("harecross: ")
+
+
+def test_a_watch_that_never_says_a_word_is_given_up_at_once_and_the_next_one_counts(monkeypatch):
+    """Two silent watches in a row outlast the time after which a drain is binding."""
+    monkeypatch.setattr(discovery, "FIRST_WORD", 0.05)
+    monkeypatch.setattr(discovery, "SILENCE", 4 * WAIT)
+
+    async def test() -> None:
+        origin = await Origin().start()
+        came: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            came.put_nowait(writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        known = update(41, entry("s1", origin.address), reset=True)
+        node = Node(config_from(config_of(address, known=known)))
+        task = asyncio.create_task(node.run())
+        await node.ready.wait()
+        for _ in range(2):
+            await came.get()  # and not a word
+        writer = await came.get()
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(chunk(line(42, entry("s1", origin.address, "terminating"))))
+        await until(lambda: not node.directory.listed)
+        assert came.empty(), "one that has spoken has more time"
+        task.cancel()
+
+    run(test())
