Sources of membership in the node and the control service; a source that flaps is damped

Need: sites that publish their boxes only as SRV records, beside the platform's watch. The resolver and the ledger stood alone; no host used them.

sources/membership.py makes the one list of what the sources say (boxes go by address; names lead to them; weights and priorities as RFC 2782 compares them; a box that comes later is cold; the next priority comes in while the first is short of healthy boxes); run.py asks DNS, reads files, keeps the last sets on disk (checksum, put in place whole) and stands between a watch and its directory. [sources] in the operators' file, srv = in a cluster of the control service, SIGHUP; GET /sources at the door and harecross sources explain and check. The draw takes members by weight where weights differ; the platform's own stay out of it, as before. DNS over TLS. The ledger's work goes by what changed, not by boxes x sources.

--- a/harecross/adapter.py
+++ b/harecross/adapter.py
@@ -164,8 +164,9 @@
         pos += DIRECTORY.size
         raw = take(body, pos, count * ENTRY.size)
         self.banks[bank] = [
-            ServerEntry(server, STATES.get(state, State.DRAINING), cell, zone, kind, weight, ready_at)
-            for server, cell, ready_at, zone, weight, state, kind in ENTRY.iter_unpack(raw)
+            # The platform's weights are nominal sizes, and the module measures speeds itself.
+            ServerEntry(server, STATES.get(state, State.DRAINING), cell, zone, kind, 1.0, ready_at)
+            for server, cell, ready_at, zone, _, state, kind in ENTRY.iter_unpack(raw)
         ]
         return pos + int(count) * ENTRY.size
 
--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -13,6 +13,7 @@
 from harecross.dns.cli import dns_app
 from harecross.doors.cli import door_app
 from harecross.exits import stop
+from harecross.sources.cli import sources_app
 
 if TYPE_CHECKING:
     from rich.console import Console
@@ -27,6 +28,7 @@
 app.add_typer(control_app, name="control")
 app.add_typer(door_app, name="door")
 app.add_typer(dns_app, name="dns")
+app.add_typer(sources_app, name="sources")
 
 Files = Annotated[list[Path], typer.Argument(help="The trace's files, plain, .gz or .zst, in order.")]
 FormatName = Annotated[str | None, typer.Option("--format", help="In place of recognising it.")]
--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
-from typing import Any, NamedTuple, cast
+from typing import Any, NamedTuple, Protocol, cast
 
 from httptools import HttpParserError, HttpResponseParser
 
@@ -52,6 +52,16 @@
     started: int  # Unix time in milliseconds
 
 
+class Lists(Protocol):
+    """Who is told what a watch brings: the directory itself, or what stands between where there are more sources."""
+
+    def apply(self, update: Any, cached: bool = False, full: bool = False) -> None:
+        """One list or change. ValueError if it is none."""
+
+    def reached(self, good: bool) -> None:
+        """The watch has just spoken, or its connection has ended or come to nothing."""
+
+
 class Directory:
     """Makes lists of discovery into the module's entries, and tells the connections of them.
 
@@ -70,12 +80,17 @@
         self.out: dict[str, Listed | None] = {}  # held out: what discovery says of them meanwhile
         self.back: dict[str, int] = {}  # when they were put back
         self.owners: dict[str, int] = {}  # who listens at an address
+        self.weighted = False  # the platform's weights are nominal, and the module measures speeds itself
+        self.resolve: Callable[[str], str] = str  # from a name that operators use to the one that lists use
         self.heard: Callable[[Any, bool, bool], None] | None = (
             None  # each update, whether full, whether cached
         )
         # Fixed once: the module takes any other start time for another process.
         self.unix_offset = time.time_ns() // 1000 - clock()
 
+    def reached(self, good: bool) -> None:
+        """The only source there is: its last list holds however old it is."""
+
     def number(self, name: str) -> int:
         """The server's number: the same for as long as it is listed or anything is out on it."""
         number = self.numbers.get(name)
@@ -129,7 +144,7 @@
             cell=int(item.get("cell") or 0),
             zone=self.zones.place(str(item.get("zone", ""))),
             kind=self.kinds.place(str(item.get("machineType", ""))),
-            weight=float(item.get("weight", 1.0)),
+            weight=float(item.get("weight", 1.0)) if self.weighted else 1.0,
             ready_at=max(1, started * 1000 - self.unix_offset) if started > 0 else 0,
         )
         listed = Listed(entry, address, started)
@@ -161,10 +176,12 @@
 
     def knows(self, name: str) -> bool:
         """Whether discovery lists the server, or operators hold it out."""
+        name = self.resolve(name)
         return name in self.out or name in self.draining or self.numbers.get(name) in self.listed
 
     def hold(self, name: str) -> None:
         """Takes the server out until it is `put_back`, whatever discovery says meanwhile."""
+        name = self.resolve(name)
         if name in self.out:
             return
         number = self.numbers.get(name, 0)
@@ -176,6 +193,7 @@
 
     def put_back(self, name: str) -> None:
         """Uses the server again if discovery lists it, as one that has just started."""
+        name = name if name in self.out else self.resolve(name)
         if name not in self.out:
             return
         listed = self.out.pop(name)
@@ -224,6 +242,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.heard, self.patience = time.monotonic(), SILENCE
+        self.watch.discovery.lists.reached(True)
         try:
             self.parser.feed_data(data)
         except HttpParserError as e:
@@ -290,7 +309,7 @@
         """One line of this watch; nothing counts that comes after the watch has been given up."""
         if self.closed:
             return
-        self.discovery.directory.apply(update, full=self.generation is None)
+        self.discovery.lists.apply(update, full=self.generation is None)
         generation = update.get("generation")
         if isinstance(generation, int):
             self.generation = generation
@@ -332,6 +351,7 @@
             say(f"discovery: {e!r}")
         finally:
             stream.stop()
+        self.discovery.lists.reached(False)
         return stream.good
 
 
@@ -342,9 +362,12 @@
     the end and asks again when it wants.
     """
 
-    def __init__(self, directory: Directory, address: tuple[str, int], asked: bool) -> None:
+    def __init__(
+        self, directory: Directory, address: tuple[str, int], asked: bool, lists: Lists | None = None
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.directory = directory
+        self.lists = lists or directory
         self.address = address
         self.asked = asked
         self.generation: int | None = 0
@@ -355,7 +378,7 @@
 
     def begin(self, known: Any) -> None:
         """The list of the configuration, as it was once told at the same address."""
-        self.directory.apply(known, cached=True)
+        self.lists.apply(known, cached=True)
         generation = known.get("generation")
         if isinstance(generation, int):
             self.generation = generation
--- a/harecross/dns/client.py
+++ b/harecross/dns/client.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
-from typing import cast
+from typing import Any, cast
 
 from harecross.dns.frames import Frames, framed
 from harecross.dns.lookup import Lookup, Send
@@ -17,6 +18,8 @@
 
 IDLE = 5.0  # seconds after which a connection without a question is closed (RFC 7766, 6.2.3)
 ASK_MOST = 32  # lookups at once for one name's addresses
+SOCKETS_MOST = 16  # lookups at once of one client, each with a socket: descriptors are for callers
+TLS = "tls://"  # before a server's address: DNS over TLS (RFC 7858)
 
 
 class LookupFailed(Exception):
@@ -84,14 +87,19 @@
 class Client:
     """Asks DNS servers. At most one lookup is out for one question: who asks meanwhile gets the same answer."""
 
-    def __init__(self, servers: Sequence[str], rng: Random) -> None:
-        """`servers` are HOST:PORT, by IP address. ValueError without any."""
+    def __init__(
+        self, servers: Sequence[str], rng: Random, tls: ssl.SSLContext | None = None, tls_name: str = ""
+    ) -> None:
+        """`servers` are HOST:PORT, by IP address, with `tls://` before it for DNS over TLS. `tls_name` is the name that
+        their certificate must bear in place of their address. ValueError without any server."""
         self.loop = asyncio.get_running_loop()
         self.servers = Servers(servers, rng)
         self.rng = rng
         self.open: dict[Question, asyncio.Task[Reply]] = {}
         self.streams: dict[str, asyncio.Task[Stream]] = {}
         self.asked = 0  # messages sent
+        self.room = asyncio.Semaphore(SOCKETS_MOST)
+        self.tls, self.tls_name = tls, tls_name
 
     async def ask(self, question: Question) -> Reply:
         """The answer. LookupFailed where there is none; a caller that is cancelled stops no other."""
@@ -120,6 +128,10 @@
         return resolution.result()
 
     async def lookup(self, question: Question) -> Reply:
+        async with self.room:
+            return await self.look_up(question)
+
+    async def look_up(self, question: Question) -> Reply:
         now = self.loop.time
         lookup = Lookup(question, self.servers, self.rng, now())
         moved = asyncio.Event()
@@ -194,8 +206,16 @@
         return await asyncio.shield(task)
 
     async def connect(self, server: str) -> Stream:
-        host, port = address(server)
-        _, stream = await self.loop.create_connection(lambda: Stream(self.loop), host.strip("[]"), port)
+        host, port = address(server.removeprefix(TLS))
+        more: dict[str, Any] = {}
+        if server.startswith(TLS):
+            more = {"ssl": self.tls or ssl.create_default_context(), "server_hostname": self.tls_name or host}
+        try:
+            _, stream = await self.loop.create_connection(
+                lambda: Stream(self.loop), host.strip("[]"), port, **more
+            )
+        except ssl.SSLError as e:
+            raise OSError(f"TLS: {e.reason or e}") from None
         return stream
 
     async def close(self) -> None:
--- a/harecross/dns/lookup.py
+++ b/harecross/dns/lookup.py
@@ -84,7 +84,8 @@
         if not self.left or now >= self.ends_at:
             self.failed = "; ".join(dict.fromkeys(self.reasons)) or "no time left"
             return []
-        return [self.send(now, self.left.pop(0), "udp")]
+        server = self.left.pop(0)
+        return [self.send(now, server, "tcp" if server.stream else "udp")]
 
     def send(self, now: float, server: Server, transport: Transport) -> Send:
         self.sent += 1
--- a/harecross/dns/servers.py
+++ b/harecross/dns/servers.py
@@ -19,13 +19,18 @@
 class Server:
     """One server; times are seconds."""
 
-    address: str  # HOST:PORT
+    address: str  # HOST:PORT, or tls://HOST:PORT
     srtt: float = FIRST
     deviation: float = FIRST / 2
     failures: int = 0  # in a row
     behind_until: float = 0.0
     plain_until: float = 0.0  # asked without EDNS
 
+    @property
+    def stream(self) -> bool:
+        """Whether it is asked over a connection only (RFC 7858)."""
+        return self.address.startswith("tls://")
+
     def patience(self, tries: int) -> float:
         """How long a try may take, the `tries`-th of one lookup at this server, from 0."""
         return min(MOST, max(LEAST, self.srtt + 4 * self.deviation) * float(1 << min(tries, 16)))
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -9,11 +9,11 @@
 import socket
 import sys
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import uvloop
 
-from harecross.core.discovery import Directory, Discovery
+from harecross.core.discovery import Directory, Discovery, Lists
 from harecross.core.host import Host, say
 from harecross.core.requests import Reader
 from harecross.core.room import Room
@@ -24,8 +24,12 @@
 from harecross.node.operations import Operations
 from harecross.node.store import Store
 
+if TYPE_CHECKING:
+    from harecross.operators import Operators
+
 BACKLOG = 1024
 RESERVE = ACCEPTS + 8  # descriptors for connections about to be closed, two watches, a file
+SOURCES = 24  # descriptors for DNS servers, files of addresses and kept sets, where there are any
 BODIES = 4  # one part in so many of the memory may hold callers' bodies
 SWEEP_EVERY = 0.25  # seconds
 BEFORE_KILL = 0.5  # seconds after the longest deadline; the process is killed 0.7 after it
@@ -63,6 +67,31 @@
     async def stop(self) -> None: ...
 
 
+class MoreSources(Lists, Protocol):
+    """Several sources of membership; the watch is one of them (`sources.run.Sources`)."""
+
+    @property
+    def watches(self) -> bool:
+        """Whether the platform's watch is a source."""
+
+    @property
+    def heard(self) -> bool:
+        """Whether its list can be relied on."""
+
+    def start(self) -> None: ...
+
+    def again(self) -> None:
+        """A fetch was asked for, and there is no watch."""
+
+    def follow(self, moved: Callable[[], None]) -> None:
+        """`moved` is called before a box with a new name is told."""
+
+    def explain(self, box: str) -> dict[str, Any]:
+        """What each source says, of one box or of all."""
+
+    async def stop(self) -> None: ...
+
+
 class Node:
     """The running program."""
 
@@ -74,8 +103,12 @@
         beside: Beside | None = None,
         inherited: socket.socket | None = None,
         folder: str | None = None,
+        more_sources: Callable[[Directory], MoreSources] | None = None,
     ) -> None:
-        """`inherited` is a listening socket that other processes may share; `folder` outlives the process."""
+        """`inherited` is a listening socket that other processes may share; `folder` outlives the process.
+
+        `more_sources` makes what lists servers beside the platform's watch.
+        """
         self.inherited = inherited
         self.beside = beside
         self.report_every = report_every
@@ -85,14 +118,20 @@
         settings = config.settings
         # Guards against: at the descriptor limit the node can reach neither servers nor discovery.
         reserve = RESERVE + (DOOR_ROOM + 4 if config.admin else 0)
+        self.more_sources: MoreSources | None = None
+        reserve += SOURCES if more_sources is not None else 0
         room = max(16, config.sockets - descriptors() - reserve)
         self.whole, self.bodies = room, config.memory // BODIES
         self.room = Room(room)
         self.servers = Servers(config.connect_timeout, config.idle_time, config.columns, self.room)
         self.host = Host(settings, config.seed, self.servers)
         self.directory = Directory(self.host, self.servers, config.zones, config.kinds)
-        self.discovery = Discovery(self.directory, config.discovery, settings.list_on_request)
-        self.host.on_watch, self.host.on_fetch = self.discovery.listen, self.discovery.fetch
+        if more_sources is not None:
+            self.more_sources = more_sources(self.directory)
+        self.discovery = Discovery(
+            self.directory, config.discovery, settings.list_on_request, self.more_sources
+        )
+        self.host.on_watch, self.host.on_fetch = self.watch, self.fetch
         reader = Reader(settings, config.classes, config.tenants)
         self.callers = Callers(
             self.host, reader, self.room, bodies_part(self.bodies, 1, inherited is not None)
@@ -100,15 +139,31 @@
         self.servers.set_passing(self.bodies // 2)
         self.operations = None
         if config.admin is not None:
-            self.operations = Operations(
-                Store(folder, config.name), self.directory, self.callers, lambda: self.discovery.heard
-            )
+            self.operations = Operations(Store(folder, config.name), self.directory, self.callers, self.heard)
+            if self.more_sources is not None:
+                self.operations.explain_by(self.more_sources.explain)
+                self.more_sources.follow(self.operations.follow)
         self.address: tuple[str, int] = ("", 0)  # where it listens, once `ready` is set
         self.ready = asyncio.Event()
         self.stop = asyncio.Event()
         self.lag = 0.0
         self.reported = self.loop.time()
 
+    def heard(self) -> bool:
+        """Whether the list of servers comes from this process's own time."""
+        return self.discovery.heard or (self.more_sources is not None and self.more_sources.heard)
+
+    def watch(self, on: bool) -> None:
+        """The platform's watch, where it is a source."""
+        if self.more_sources is None or self.more_sources.watches or not on:
+            self.discovery.listen(on)
+
+    def fetch(self) -> None:
+        if self.more_sources is None or self.more_sources.watches:
+            self.discovery.fetch()
+        else:
+            self.more_sources.again()
+
     async def run(self) -> None:
         # Guards against: a signal that comes before its handler ends the process.
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -127,10 +182,12 @@
                 self.discovery.begin(self.config.known)
             except ValueError as e:
                 say(f"known: {e}")
+        if self.more_sources is not None:
+            self.more_sources.start()
         if self.operations is not None:
             self.operations.recall()
         if not self.discovery.asked:
-            self.discovery.listen(True)
+            self.watch(True)
         sock = self.inherited or self.bind()
         self.callers.listen(sock, self.backlog)
         self.every(SWEEP_EVERY, self.sweep)
@@ -195,8 +252,26 @@
         others = [k for k, v in config.raw.items() if k not in LIVE and v != self.config.raw.get(k)]
         if others:
             text += f"; {', '.join(sorted(others))} will count from the next start"
+        if self.more_sources is not None:
+            text += self.reload_sources()
         say(text)
 
+    def reload_sources(self) -> str:
+        """`[sources]` of the operators' file is read again; a bad file changes nothing."""
+        from harecross.sources.run import Sources
+
+        assert isinstance(self.more_sources, Sources)
+        try:
+            told = read_operators(os.environ.get("HARECROSS_CONFIG", ""))
+            self.more_sources.put(told.sources)
+        except (BadConfig, ValueError) as e:
+            return f"; sources not changed: {e}"
+        if self.more_sources.watches and self.discovery.current is None:
+            self.discovery.listen(True)
+        elif not self.more_sources.watches:
+            self.discovery.listen(False)
+        return f"; {len(self.more_sources.membership.ledger.sources)} sources"
+
     async def drain(self) -> None:
         """Serves on while others take over, then answers all that was taken, before it is killed.
 
@@ -227,6 +302,8 @@
             await asyncio.sleep(0.01)
         self.callers.close_all()
         self.discovery.listen(False)
+        if self.more_sources is not None:
+            await self.more_sources.stop()
         self.servers.shut()
         if self.beside is not None:
             await self.beside.stop()
@@ -262,17 +339,27 @@
             self.lag = 0.0
 
 
-def from_operators() -> dict[str, Any]:
-    """What the operators' file says, if HARECROSS_CONFIG names one. Only then is its reader imported."""
-    path = os.environ.get("HARECROSS_CONFIG")
-    if not path:
-        return {}
+def read_operators(path: str) -> Operators:
+    """The operators' file. Only where it is named is its reader imported."""
     from harecross.operators import BadFile, Operators, read_toml
+    from harecross.sources.config import check
 
     try:
         told = read_toml(path, Operators)
+        check(told.sources)
     except BadFile as e:
         raise BadConfig(str(e)) from None
+    except ValueError as e:
+        raise BadConfig(f"{path}: {e}") from None
+    return told
+
+
+def from_operators() -> dict[str, Any]:
+    """What the operators' file says, if HARECROSS_CONFIG names one."""
+    path = os.environ.get("HARECROSS_CONFIG")
+    if not path:
+        return {}
+    told = read_operators(path)
     found: dict[str, Any] = {"report_every": told.log.report_every_s, "backlog": told.listen.backlog}
     if told.xds.listen:
         try:
@@ -285,6 +372,16 @@
         except ValueError as e:
             raise BadConfig(f"{path}: xds.listen: {e}") from None
         found["beside"] = Inside(told.xds.listen, told.xds.cluster)
+    if told.sources.on:
+        from harecross.sources.run import Sources
+
+        def make(directory: Directory) -> MoreSources:
+            try:
+                return Sources(told.sources, directory)
+            except ValueError as e:
+                raise BadConfig(f"{path}: {e}") from None
+
+        found["more_sources"] = make
     return found
 
 
--- a/harecross/node/operations.py
+++ b/harecross/node/operations.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from typing import Any
 from urllib.parse import parse_qsl
 
 from harecross.core import memory
@@ -49,6 +50,18 @@
         )
         self.ticking: asyncio.TimerHandle | None = None
 
+    def explain_by(self, explain: Callable[[str], dict[str, Any]]) -> None:
+        """Servers come from several sources: why each is in or out can be asked for."""
+
+        def sources(query: bytes) -> Answer:
+            box = dict(parse_qsl(query.decode(errors="replace"))).get("box", "")
+            told = explain(box)
+            if box and not told["boxes"]:
+                return 404, f"{box}: no source names such a box"
+            return 200, json.dumps(told, separators=(",", ":"))
+
+        self.door.calls[b"GET", b"/sources"] = sources
+
     async def open(self, address: tuple[str, int]) -> None:
         """OSError where the address is not to be had."""
         await self.door.listen(*address)
@@ -93,7 +106,7 @@
     def follow(self) -> None:
         """Makes the node what the store says it is."""
         held = self.store.held
-        out, back = difference(self.directory.out, held.out)
+        out, back = difference(self.directory.out, map(self.directory.resolve, held.out))
         for name in out:
             self.directory.hold(name)
         for name in back:
@@ -117,13 +130,16 @@
 
     def servers(self, query: bytes) -> Answer:
         """Each server as this process sees it, one line of JSON; `id=` names those that are asked for."""
-        wanted = {name for key, name in parse_qsl(query.decode(errors="replace")) if key == "id"}
+        asked = [name for key, name in parse_qsl(query.decode(errors="replace")) if key == "id"]
+        wanted = {self.directory.resolve(name): name for name in asked}
         rows = roster(self.directory, self.directory.host.out_on(), clock())
+        for row in rows:
+            row["id"] = wanted.get(row["id"], row["id"])  # by the name that was asked for
         told = {
             "name": self.store.name,
             "standby": self.store.held.standby,
             "others": self.store.others(),
-            "servers": [row for row in rows if not wanted or row["id"] in wanted],
+            "servers": [row for row in rows if not wanted or row["id"] in wanted.values()],
         }
         return 200, json.dumps(told, separators=(",", ":"))
 
@@ -131,7 +147,13 @@
         return self.move(body, Held.enter, "out")
 
     def exit(self, body: bytes) -> Answer:
-        return self.move(body, Held.exit, "in use")
+        return self.move(body, self.without, "in use")
+
+    def without(self, held: Held, server: str) -> Held:
+        """With the server back, by whichever of its names it was taken out."""
+        for name in {server, *(n for n in held.out if self.directory.resolve(n) == server)}:
+            held = held.exit(name)
+        return held
 
     def move(self, body: bytes, make: Callable[[Held, str], Held], how: str) -> Answer:
         name, why = self.known(body)
@@ -147,7 +169,7 @@
             return "", "the body holds the id of a server"
         if not self.directory.knows(name):
             return "", f"{name}: no such server"
-        return name, ""
+        return self.directory.resolve(name), ""
 
     def stand(self, by: bool) -> Answer:
         return self.write(lambda held: held.stand(by), "standby" if by else "active")
--- a/harecross/operators.py
+++ b/harecross/operators.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from harecross.sources.config import SourcesTable
+
 T = TypeVar("T")
 
 
@@ -44,6 +46,7 @@
     log: Log = Log()
     listen: Listen = Listen()
     xds: Xds = Xds()
+    sources: SourcesTable = SourcesTable()
 
 
 def read_toml(path: str | Path, kind: type[T]) -> T:
--- a/harecross/policy/balancer.py
+++ b/harecross/policy/balancer.py
@@ -61,7 +61,7 @@
                     self.readmit(known)
                 known.renew(entry)
             known.in_list = True
-            known.cell, known.zone = entry.cell, entry.zone
+            known.cell, known.zone, known.weight = entry.cell, entry.zone, entry.weight
             if entry.zone not in self.zones:
                 self.zones[entry.zone] = Zone(entry.zone)
             if entry.ready_at > 0 and now < entry.ready_at + self.settings.cold_time:
--- a/harecross/policy/draw.py
+++ b/harecross/policy/draw.py
@@ -66,6 +66,9 @@
             if j >= i:
                 j += 1
             a, b = pool[i], pool[j]
+            if self.uneven:
+                # A heavier one is drawn more often, not taken for quicker: idle, it would get every call.
+                a, b = self.rng.choices(pool, [m.weight for m in pool], k=2)
             cost = self.mean_cost
             if b.load(now, mean, memory, cost) < a.load(now, mean, memory, cost):
                 a, b = b, a
@@ -91,15 +94,9 @@
         first = r.ran_on
         group = self.settings.classes[r.klass].group
         assert first is not None
-        pool = [
-            m
-            for m in self.able
-            if group == Group.ALL
-            or group == Group.ZONE
-            and m.zone == first.zone
-            or group == Group.CELL
-            and m.cell == first.cell
-        ]
+        zone = first.zone if group == Group.ZONE else None
+        cell = first.cell if group == Group.CELL else None
+        pool = [m for m in self.able if zone in (None, m.zone) and cell in (None, m.cell)]
         # Failure prevented: a cell with one server left has nowhere to send a repeat. The server that may
         # have run it drops its repeats as well as the others do, and an answer lost on the way says little
         # against it.
--- a/harecross/policy/members.py
+++ b/harecross/policy/members.py
@@ -31,6 +31,7 @@
     ready_at: int = -1
     cell: int = 0
     zone: int = 0
+    weight: float = 1.0
     in_list: bool = False
     member: bool = False
     in_flight: int = 0
--- a/harecross/policy/state.py
+++ b/harecross/policy/state.py
@@ -57,6 +57,7 @@
         self.near: list[Server] = []  # members in this zone that may be drawn
         self.able: list[Server] = []  # all members that may be drawn
         self.ejected: list[Server] = []
+        self.uneven = False  # members have different weights
         self.next_trial = 0
         self.requests: dict[int, Request] = {}
         self.waiting: deque[Request] = deque()
@@ -142,3 +143,4 @@
                 self.controller.in_flight += -m.in_flight if aside else m.in_flight
                 m.aside = aside
         self.near = [m for m in self.able if m.zone == self.settings.zone]
+        self.uneven = len({m.weight for m in self.able}) > 1
--- a/harecross/sources/ledger.py
+++ b/harecross/sources/ledger.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from heapq import heappop, heappush
 
 from harecross.sources.rule import Evidence, Line, Outcome, Word, decide
 
 CHANGES_KEPT = 5  # of each box, for operators
+GONE_KEPT = 1000  # boxes that went, for operators
+FLAPS = 3  # a source that has dropped a box so often over ten `step_s` flaps on it (after RFC 2439's idea)
+KEEP_STEPS = 10  # a drop that no other source contradicts is forgotten after so many times `step_s`
 
 
 class Credit(StrEnum):
@@ -57,8 +61,9 @@
     credit: Credit = Credit.NONE
     listed: dict[str, Stated] = field(default_factory=dict)
     dropped: dict[str, tuple[float, bool]] = field(default_factory=dict)  # when, and whether with many others
-    drains: set[str] = field(default_factory=set)
-    told_at: float = 0.0
+    drains: dict[str, Stated] = field(default_factory=dict)
+    flaps: dict[str, list[float]] = field(default_factory=dict)  # when it was dropped, over the last while
+    told_at: float | None = None
 
     def word(self, address: str, now: float, limits: Limits) -> Word:
         """What it says of a box now."""
@@ -74,9 +79,13 @@
             return Word.NEVER
         at, mass = self.dropped[address]
         if now - at < limits.step_s:
-            return Word.NEW_NO
+            return Word.FLAP_NO if len(self.flaps.get(address, ())) >= FLAPS else Word.NEW_NO
         return Word.MASS_NO if mass else Word.NO
 
+    def knows(self, address: str) -> bool:
+        """Whether it says anything of a box, or has."""
+        return address in self.listed or address in self.drains or address in self.dropped
+
 
 @dataclass(frozen=True, slots=True)
 class Change:
@@ -94,40 +103,59 @@
     address: str
     outcome: Outcome
     line: Line
-    used: bool  # gets new work
+    wanted: bool  # by the rule it gets new work...
+    used: bool  # ...and no operator holds it out
     stated: Stated  # by the source that ranks highest among those that know it
     names: frozenset[str]
+    born: (
+        float | None
+    )  # when it was first listed, or again after a drain; None where it was there from the start
     changes: deque[Change] = field(default_factory=lambda: deque(maxlen=CHANGES_KEPT))
 
 
 class Ledger:
-    """All sources' words, and the boxes they make."""
+    """All sources' words, and the boxes they make.
+
+    The work of `settle` goes by what has changed, not by how many boxes or sources there are.
+    """
 
     def __init__(self, limits: Limits | None = None) -> None:
         self.limits = limits or Limits()
         self.sources: dict[str, Source] = {}
         self.boxes: dict[str, Box] = {}
+        self.gone: OrderedDict[str, Box] = OrderedDict()  # the last ones that went, for operators
         self.out: set[str] = set()  # names or addresses that operators hold out
+        self.changed: set[str] = set()  # addresses whose box came, went or changed since `take_changed`
+        self.knowing: dict[str, set[str]] = {}  # by address: the sources that know it
+        self.touched: set[str] = set()  # addresses whose evidence has changed since the last `settle`
+        self.first: set[str] = set()  # those of them that come from a source's first list
+        self.ripening: list[tuple[float, str]] = []  # a heap: when a drop is new no longer
+        self.fading: list[
+            tuple[float, str, str]
+        ] = []  # a heap: when a drop may be forgotten, and by which source
 
     # ---- what is told ---------------------------------------------------------------------------------
 
     def add(self, name: str, rank: int) -> None:
         """A source; one of that name keeps what it has said, and takes the rank."""
         known = self.sources.get(name)
-        if known is not None:
-            known.rank = rank
-        else:
+        if known is None:
             self.sources[name] = Source(name, rank)
+        elif known.rank != rank:
+            known.rank = rank
+            self.touch(known)
 
     def remove(self, name: str) -> None:
         """A source that is configured no longer. What it alone listed is gone; what others list stays."""
         source = self.sources.pop(name, None)
         if source is None:
             return
-        for address in source.listed:
+        for address in {*source.listed, *source.drains, *source.dropped}:
+            self.unknow(name, address)
+            self.touched.add(address)
             box = self.boxes.get(address)
             if box is not None and not any(address in s.listed for s in self.sources.values()):
-                del self.boxes[address]
+                self.bury(address)
 
     def told(self, now: float, name: str, stated: Iterable[Stated]) -> None:
         """A source's whole list, fresh.
@@ -146,8 +174,15 @@
         ]
         missing = len(set(gone) | set(lately))
         mass = missing >= self.limits.mass_least and missing > self.limits.mass * (len(fresh) + missing)
+        before = {**source.listed, **source.drains}
+        while_ago = now - KEEP_STEPS * self.limits.step_s
         for address in gone:
             source.dropped[address] = (now, mass)
+            source.flaps[address] = [t for t in source.flaps.get(address, ()) if t > while_ago][-FLAPS:] + [
+                now
+            ]
+            heappush(self.ripening, (now + self.limits.step_s, address))
+            heappush(self.fading, (now + KEEP_STEPS * self.limits.step_s, name, address))
         if mass:
             for address in lately:
                 source.dropped[address] = (source.dropped[address][0], True)
@@ -155,19 +190,44 @@
             source.dropped.pop(address, None)
         source.listed = {a: s for a, s in fresh.items() if not s.draining}
         # A drain stays until its source lists the box in service, or drops it.
-        source.drains = {a for a, s in fresh.items() if s.draining}
+        source.drains = {a: s for a, s in fresh.items() if s.draining}
+        if source.credit != Credit.FRESH:
+            self.touch(source)
+            if source.told_at is None:
+                self.first.update(a for a in source.listed if a not in self.boxes)
+        for address in (*before, *fresh):
+            if before.get(address) != fresh.get(address):
+                self.touched.add(address)
+                if source.knows(address):
+                    self.knowing.setdefault(address, set()).add(name)
+                else:
+                    self.unknow(name, address)
         source.credit, source.told_at = Credit.FRESH, now
 
     def worth(self, name: str, credit: Credit) -> None:
         """A source's list is worth less now, or is an old one kept from before the start."""
         source = self.sources[name]
         # Guards against: what was lost vouches again, and drains again, without a word from its source.
-        if source.credit != Credit.LOST:
+        if source.credit not in (Credit.LOST, credit):
             source.credit = credit
+            self.touch(source)
 
     def hold(self, names: Iterable[str]) -> None:
         """What operators hold out, by name or address; it stands above every source."""
-        self.out = set(names)
+        out = set(names)
+        if out != self.out:
+            moved, self.out = out ^ self.out, out
+            self.touched.update(a for a, b in self.boxes.items() if a in moved or b.names & moved)
+
+    def touch(self, source: Source) -> None:
+        self.touched.update(source.listed, source.drains, source.dropped)
+
+    def unknow(self, name: str, address: str) -> None:
+        names = self.knowing.get(address)
+        if names is not None:
+            names.discard(name)
+            if not names:
+                del self.knowing[address]
 
     # ---- what comes of it -------------------------------------------------------------------------------
 
@@ -176,43 +236,89 @@
         return {s.name: Evidence(s.rank, s.word(address, now, self.limits)) for s in self.sources.values()}
 
     def settle(self, now: float) -> Mapping[str, Box]:
-        """Applies the rule to every box and returns those that exist; forgets boxes that are gone."""
-        ranked = sorted(self.sources.values(), key=lambda s: s.rank)
-        addresses = dict.fromkeys(a for s in ranked for a in (*s.listed, *s.drains))
-        for address in (*addresses, *(a for a in list(self.boxes) if a not in addresses)):
-            self.one(now, address, ranked)
+        """Applies the rule to every box of which anything has changed, and returns those that exist."""
+        while self.ripening and self.ripening[0][0] <= now:
+            self.touched.add(heappop(self.ripening)[1])
+        touched, self.touched = self.touched, set()
+        for address in touched:
+            self.one(now, address)
+        self.first.clear()
         self.forget(now)
         return self.boxes
 
-    def one(self, now: float, address: str, ranked: list[Source]) -> None:
-        outcome, line = decide(list(self.evidence(address, now).values()))
+    def due(self) -> float | None:
+        """When `settle` has work again by the passing of time alone."""
+        return self.ripening[0][0] if self.ripening else None
+
+    def take_changed(self) -> set[str]:
+        """Addresses whose box came, went or changed since the last call."""
+        changed, self.changed = self.changed, set()
+        return changed
+
+    def one(self, now: float, address: str) -> None:
+        # A source that knows nothing of a box has no say in it: NEVER and SILENT decide nothing.
+        knowing = sorted(
+            (self.sources[n] for n in self.knowing.get(address, ())), key=lambda s: (s.rank, s.name)
+        )
+        outcome, line = decide([Evidence(s.rank, s.word(address, now, self.limits)) for s in knowing])
         box = self.boxes.get(address)
-        said = [s.listed[address] for s in ranked if address in s.listed]
+        speaking = [s.listed[address] for s in knowing if address in s.listed]
+        speaking = speaking or [s.drains[address] for s in knowing if address in s.drains]
         if outcome == Outcome.GONE or (box is None and outcome == Outcome.KEEP):
             if box is not None:
-                del self.boxes[address]
+                box.changes.append(Change(now, outcome, line))
+                box.outcome, box.line = outcome, line
+                self.bury(address)
             return
         if box is None:
-            stated = said[0] if said else Stated(address, address, draining=True)
-            box = self.boxes[address] = Box(address, outcome, line, False, stated, frozenset())
+            stated = speaking[0] if speaking else Stated(address, address, draining=True)
+            born = None if address in self.first else now
+            box = self.boxes[address] = Box(address, outcome, line, False, False, stated, frozenset(), born)
             box.changes.append(Change(now, outcome, line))
         elif (box.outcome, box.line) != (outcome, line):
+            if box.outcome == Outcome.DRAIN and outcome == Outcome.USE:
+                # A box that was drained and is listed again has been restarted, as far as anyone tells.
+                box.born = now
             box.changes.append(Change(now, outcome, line))
         box.outcome, box.line = outcome, line
-        if said:
-            box.stated = said[0]
-            box.names = frozenset(s.name for s in said)
+        if speaking:
+            box.stated = speaking[0]
+            box.names = frozenset(s.name for s in speaking)
         held = address in self.out or bool(box.names & self.out)
         # Kept as it was: one that was drained stays so.
-        wanted = outcome == Outcome.USE or (outcome == Outcome.KEEP and not box.stated.draining and box.used)
-        box.used = wanted and not held
+        kept = outcome == Outcome.KEEP and not box.stated.draining and box.wanted
+        box.wanted = outcome == Outcome.USE or kept
+        box.used = box.wanted and not held
+        self.changed.add(address)
+
+    def bury(self, address: str) -> None:
+        """A box is gone; what became of it stays to be asked for a while."""
+        self.gone[address] = self.boxes.pop(address)
+        self.gone.move_to_end(address)
+        self.changed.add(address)
+        while len(self.gone) > GONE_KEPT:
+            self.gone.popitem(last=False)
 
     def forget(self, now: float) -> None:
         """Guards against: boxes that come and go all day are remembered as dropped for good."""
-        keep = 10 * self.limits.step_s
-        for s in self.sources.values():
-            others = {a for o in self.sources.values() if o is not s for a in o.listed}
-            s.dropped = {a: d for a, d in s.dropped.items() if a in others or now - d[0] < keep}
+        while self.fading and self.fading[0][0] <= now:
+            _, name, address = heappop(self.fading)
+            source = self.sources.get(name)
+            if source is None:
+                continue
+            flaps = source.flaps.get(address, [now])
+            if flaps[-1] + KEEP_STEPS * self.limits.step_s <= now:
+                source.flaps.pop(address, None)
+            if address not in source.dropped:
+                continue
+            at = source.dropped[address][0] + KEEP_STEPS * self.limits.step_s
+            others = self.knowing.get(address, set()) - {name}
+            if at > now or any(address in self.sources[o].listed for o in others):
+                # Dropped anew since, or others still list it: looked at again later.
+                heappush(self.fading, (max(at, now + self.limits.step_s), name, address))
+                continue
+            del source.dropped[address]
+            self.unknow(name, address)
 
 
 class Priorities:
--- a/harecross/sources/rule.py
+++ b/harecross/sources/rule.py
@@ -17,6 +17,7 @@
     DRAIN = "drain"  # said that it drains, and has not taken that back
     NEVER = "never"  # fresh, and has never listed it: it speaks of other boxes
     NEW_NO = "new no"  # fresh, and dropped it a short while ago
+    FLAP_NO = "flap no"  # fresh, and dropped it a short while ago, as it has done again and again
     NO = "no"  # fresh, and dropped it longer ago
     MASS_NO = "mass no"  # fresh, and dropped it together with a large part of what it listed
     OLD_YES = "old yes"  # stale, and listed it
@@ -44,11 +45,12 @@
     STALE_LISTS = "7 a stale source lists it, and none has dropped it"
     STALE_DOUBT = "8 a stale source lists it, dropped by another just now or with many others"
     STALE_LOSES = "9 a stale source lists it, dropped by another"
-    DROPPED = "10 dropped, and no source lists it"
-    UNSAID = "11 no source says anything of it that counts"
+    FLAPS = "10 dropped just now by a source that drops it and lists it again and again"
+    DROPPED = "11 dropped, and no source lists it"
+    UNSAID = "12 no source says anything of it that counts"
 
 
-DROPS = frozenset({Word.NEW_NO, Word.NO, Word.MASS_NO})
+DROPS = frozenset({Word.NEW_NO, Word.FLAP_NO, Word.NO, Word.MASS_NO})
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +74,7 @@
         if not drops:
             return Outcome.USE, Line.AGREED
         # Guards against: a release in which two sources are out of step takes boxes out and in again.
-        if Word.NEW_NO in words:
+        if Word.NEW_NO in words or Word.FLAP_NO in words:
             return Outcome.USE, Line.FRESH_DROP
         # Guards against: one source that lists half empties half the fleet while another knows better.
         if drops == {Word.MASS_NO}:
@@ -88,6 +90,11 @@
         if Word.NO not in drops:
             return Outcome.KEEP, Line.STALE_DOUBT
         return Outcome.GONE, Line.STALE_LOSES
+    if Word.FLAP_NO in drops:
+        # Guards against: a set that flaps takes its boxes out and in, each time cold and with no connection.
+        best_flap = min(e.rank for e in evidence if e.word == Word.FLAP_NO)
+        if best_flap < min((e.rank for e in evidence if e.word == Word.NO), default=best_flap + 1):
+            return Outcome.KEEP, Line.FLAPS
     if drops:
         return Outcome.GONE, Line.DROPPED
     return Outcome.KEEP, Line.UNSAID
--- a/harecross/xds/config.py
+++ b/harecross/xds/config.py
@@ -9,6 +9,8 @@
 
 from harecross.operators import BadFile, read_toml
 from harecross.settings import address
+from harecross.sources.config import SourcesTable, Srv
+from harecross.sources.config import check as check_sources
 from harecross.xds.access import loopback
 
 Seconds = Annotated[float, msgspec.Meta(ge=0.01, le=3600)]
@@ -60,7 +62,10 @@
 class ClusterTable(Strict, frozen=True):
     """`[clusters.NAME]`."""
 
-    discovery: str
+    discovery: str = ""  # the platform's; not needed where there are other sources
+    srv: str | tuple[str, ...] = ()  # SRV names that list its servers too
+    resolvers: tuple[str, ...] = ()  # DNS servers for them
+    sources: SourcesTable | None = None  # in place of the two above: all that `[sources]` of a node knows
     probe: ProbeTable = ProbeTable()
     columns: tuple[str, ...] = ()  # of the servers' load reports, as the node's configuration names them
     cross_zone_price: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
@@ -68,6 +73,16 @@
     cold_s: SecondsOrNone = 0.0
     cold_start: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.25  # share of its capacity a fresh server has
 
+    def table(self) -> SourcesTable:
+        """Its sources; the watch is one of them where `discovery` is set."""
+        watch = bool(self.discovery)
+        if self.sources is not None:
+            return msgspec.structs.replace(self.sources, watch=watch and self.sources.watch)
+        names = (self.srv,) if isinstance(self.srv, str) else self.srv
+        return SourcesTable(
+            srv=tuple(Srv(name) for name in names if name), resolvers=self.resolvers, watch=watch
+        )
+
 
 class ControlFile(Strict, frozen=True):
     """The whole file."""
@@ -96,8 +111,17 @@
             raise BadFile(f"{path}: {key}: {allowed}")
 
     check("clusters", bool(told.clusters), "at least one [clusters.NAME] is needed")
+    for name, cluster in told.clusters.items():
+        here, table = f"clusters.{name}", cluster.table()
+        check(here, bool(cluster.discovery) or table.on, "discovery, srv or sources is needed")
+        check(f"{here}.sources", not (cluster.sources and (cluster.srv or cluster.resolvers)),
+              "not beside srv and resolvers: name them in it")  # fmt: skip
+        try:
+            check_sources(table, f"{here}.sources" if cluster.sources else here)
+        except ValueError as e:
+            raise BadFile(f"{path}: {e}") from None
     for key, text in [("control.listen", told.control.listen)] + [
-        (f"clusters.{n}.discovery", c.discovery) for n, c in told.clusters.items()
+        (f"clusters.{n}.discovery", c.discovery) for n, c in told.clusters.items() if c.discovery
     ]:
         try:
             address(text)
--- a/harecross/xds/feed.py
+++ b/harecross/xds/feed.py
@@ -9,16 +9,18 @@
 
 from harecross.core.discovery import Directory, Discovery
 from harecross.core.host import Host, guard, say
+from harecross.core.lines import Roster
 from harecross.core.room import Room
 from harecross.core.servers import Exchange, Servers, clock
 from harecross.interface import ClassSettings, Effect, Outcome, Settings
 from harecross.settings import COLUMNS, address
+from harecross.sources.run import Sources
 from harecross.xds.config import ClusterTable
 from harecross.xds.loads import Loads
 from harecross.xds.probes import Schedule
 from harecross.xds.publish import ServerView
-from harecross.xds.roster import Roster
 
+NOWHERE = ("127.0.0.1", 0)  # the watch of a cluster without discovery, which is never begun
 PROBES_MOST = 256  # of one cluster, out at once
 PROBE_STEP = 0.1  # seconds between two looks at which probes are due
 ALL = 1 << 30  # one copy judges every server
@@ -109,19 +111,29 @@
         host.changed = lambda: changed(name)
         host.start()
         self.servers = servers
-        self.discovery = Discovery(self.directory, address(told.discovery), False)
+        table = told.table()
+        # ValueError for a file of addresses that cannot be used.
+        self.sources = Sources(table, self.directory, name) if table.on else None
+        where = address(told.discovery) if told.discovery else NOWHERE
+        self.discovery = Discovery(self.directory, where, False, self.sources)
         self.schedule = Schedule(int(told.probe.interval_s * 1e6), Random(f"{seed}/{name}"))
         self.tasks: set[asyncio.Task[None]] = set()
+        self.ending: asyncio.Task[None] | None = None
 
     def start(self, memory: Any = None) -> None:
         """Begins with a remembered list, which counts as old, and watches discovery."""
         if memory is not None:
             try:
+                if self.sources is not None:
+                    self.sources.membership.remember(memory["instances"])
                 self.directory.apply(memory, cached=True)
-            except ValueError as e:
+            except (ValueError, KeyError, TypeError) as e:
                 say(f"{self.name}: remembered list: {e}")
         self.discovery.generation = None
-        self.discovery.listen(True)
+        if self.told.discovery:
+            self.discovery.listen(True)
+        if self.sources is not None:
+            self.sources.start()
         self.keep(self.probe())
 
     def keep(self, work: Any) -> None:
@@ -169,6 +181,8 @@
     def close(self) -> None:
         super().close()
         self.discovery.listen(False)
+        if self.sources is not None:
+            self.ending = asyncio.get_running_loop().create_task(self.sources.stop())
         for task in self.tasks:
             task.cancel()
         self.servers.shut()
--- a/harecross/xds/service.py
+++ b/harecross/xds/service.py
@@ -65,7 +65,10 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         memory = self.remembered()
         for name in self.told.clusters:
-            self.begin(name, memory.get(name))
+            try:
+                self.begin(name, memory.get(name))
+            except ValueError as e:
+                raise BadFile(f"{self.path}: clusters.{name}: {e}") from None
         try:
             if isinstance(self.control, Fleet):
                 port = await self.control.start()
@@ -80,6 +83,9 @@
         await self.stop.wait()
         say("control: stopping")
         self.press.stop()
+        for feed in self.press.feeds.values():
+            if isinstance(feed, OwnFeed) and feed.sources is not None:
+                await feed.sources.stop()
         self.remember(True)
         await self.control.stop()
 
--- a/tests/test_sources.py
+++ b/tests/test_sources.py
@@ -14,13 +14,16 @@
 from harecross.sources.rule import Evidence, Line, Outcome, Word, decide
 
 TABLE = Path(__file__).parent.parent / "docs" / "design-sources.md"
-DROPS = {"new no", "no", "mass no"}
+DROPS = {"new no", "flap no", "no", "mass no"}
 
 # The conditions of the table, in its own words.
 CONDITIONS = {
     "": lambda e: True,
     "no drop": lambda e: not any(w in DROPS for _, w in e),
-    "new no": lambda e: any(w == "new no" for _, w in e),
+    "new no or flap no": lambda e: any(w in ("new no", "flap no") for _, w in e),
+    "the best rank of a flap no is lower than that of every no": lambda e: all(
+        min(r for r, w in e if w == "flap no") < rank for rank, w in e if w == "no"
+    ),
     "every drop is a mass no": lambda e: all(w == "mass no" for _, w in e if w in DROPS),
     "the best rank of a yes is lower than that of every no": lambda e: all(
         min(r for r, w in e if w == "yes") < rank for rank, w in e if w == "no"
--- a/tests/test_xds_decisions.py
+++ b/tests/test_xds_decisions.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+from harecross.core.lines import Roster
 from harecross.decide import Balancer
 from harecross.interface import ClassSettings, Effect, ListKind, ServerEntry, Settings, State
 from harecross.xds.access import allowed, loopback
@@ -11,7 +12,6 @@
 from harecross.xds.probes import Schedule
 from harecross.xds.publish import Endpoint, Health, Publisher, ServerView, Told, calls_out, priority
 from harecross.xds.release import Release
-from harecross.xds.roster import Roster
 
 SECOND = 1_000_000
 
