--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -185,6 +185,52 @@
     assert spare <= set(told.up), "what operators hold out is missing too"
 
 
+def test_a_box_in_two_names_has_the_weight_of_the_one_that_ranks_higher():
+    told = Told()
+    m = Membership(told, watch_rank=None)
+    for name, rank in (("srv:a", 2), ("srv:b", 1)):
+        m.ledger.add(name, rank)
+    m.told(
+        0,
+        "srv:a",
+        stated_by_dns([Endpoint(0, "x.", "10.0.0.1", 80, 30), Endpoint(0, "y.", "10.0.0.2", 80, 10)]),
+    )
+    m.told(
+        0,
+        "srv:b",
+        stated_by_dns([Endpoint(0, "z.", "10.0.0.1", 80, 10), Endpoint(0, "y.", "10.0.0.3", 80, 30)]),
+    )
+    m.settle(0, 0)
+    assert told.up["10.0.0.1:80"]["weight"] == 0.5 and len(told.up) == 3
+    assert m.resolve("x:80") == m.resolve("z:80") == "10.0.0.1:80", "one box, by both its names"
+    m.ledger.add("srv:a", 0)  # a reload gives it the better rank
+    m.settle(1, 1)
+    assert told.up["10.0.0.1:80"]["weight"] == 1.5
+
+
+def test_a_resolver_dead_for_an_hour_is_asked_seldom_and_takes_nothing_out():
+    name, now, asked = Name(Lifetimes(), Random(4), 0.0), 0.0, 0
+    name.answered(0.0, Found(at("1", "2"), 5.0))
+    told = Told()
+    m = Membership(told, watch_rank=None)
+    m.ledger.add("srv:x", 1)
+    m.told(0, "srv:x", stated_by_dns(name.view(0.0).endpoints))
+    while now < 3600:
+        now += 0.5
+        if name.due(now):
+            asked += 1
+            name.could_not(now, "no answer in time")
+        if name.view(now).standing == Standing.STALE:
+            m.worth("srv:x", Credit.STALE)
+        m.settle(now, now)
+        assert len(told.up) == 2
+    assert 100 < asked < 300, "each half minute, drawn"
+    name.answered(now, Found(at("2", "3"), 5.0))
+    m.told(now, "srv:x", stated_by_dns(name.view(now).endpoints))
+    m.settle(now, now)
+    assert set(told.up) == {"10.0.0.2:80", "10.0.0.3:80"}
+
+
 def test_a_start_takes_nothing_out_before_every_source_has_spoken_or_had_its_time():
     told = Told()
     m = Membership(told, until=3.0)
