--- a/harecross/operators.py
+++ b/harecross/operators.py
@@ -67,6 +67,9 @@
 
 def allowed(raw: object, kind: object) -> str:
     """For a key that does not exist: the keys that do."""
+    if isinstance(raw, list):
+        inner = next((a for a in get_args(kind) if a is not Ellipsis), None)
+        return next((text for value in raw if (text := allowed(value, inner))), "")
     if not isinstance(raw, dict):
         return ""
     for part in (kind, *get_args(kind)):
