--- a/harecross/policy/draw.py
+++ b/harecross/policy/draw.py
@@ -35,9 +35,6 @@
                     zone.trials += 1
                     zone.trial_at = now + (EJECT_TIME << min(zone.trials, 4))
                     pool = [m for m in self.members if m.zone == zone.id]
-                    # Failure prevented: where servers were replaced the trials go to those gone.
-                    least = min((m.fails_in_row for m in pool), default=0)
-                    pool = [m for m in pool if m.fails_in_row == least]
                     i = int(self.rng.random() * len(pool))
                     if pool and self.may_send(now, pool[i]):
                         return pool[i]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -513,20 +513,6 @@
     assert went[-20:] == [1] * 20
 
 
-def test_a_cut_zone_is_tried_at_a_member_that_has_not_failed():
-    """A zone whose servers were replaced is cut off by those that have gone; the new one answers the first trial."""
-    for seed in range(20):
-        node, rec = balancer(two_zones(), seed)
-        parted(node, rec, 0, 1, 30)
-        assert [zone.id for zone in node.cut] == [1]
-        fresh = max(node.servers) + 1
-        for gone in (m for m in node.members if m.zone == 1):
-            gone.fails_in_row = max(gone.fails_in_row, 1)
-        node.server_list(3 * SEC, ListKind.CHANGES, [ServerEntry(fresh, zone=1)])
-        node.zones[1].trial_at = 3 * SEC
-        assert ask(node, rec, 3 * SEC + 1, 10_000)[2] == fresh
-
-
 def test_no_zone_is_cut_while_no_other_answers():
     node, rec = balancer(two_zones())
     parted(node, rec, None, 1, 30)
