--- a/harecross/sources/run.py
+++ b/harecross/sources/run.py
@@ -52,7 +52,6 @@
     signature: tuple[int, ...] = ()  # of the file as it was last looked at
     used: tuple[int, ...] = ()  # of the file as it was last read
     why: str = ""
-    boxes: int = 0
 
 
 def signature(path: str) -> tuple[int, ...]:
@@ -179,7 +178,7 @@
             raise ValueError(f"sources.file: {file.told.path}: {e.strerror}") from None
         except BadFile as e:
             raise ValueError(f"sources.file: {file.told.path}: {e}") from None
-        file.boxes, file.due = len(stated), self.now() + FILE_EVERY
+        file.due = self.now() + FILE_EVERY
         self.membership.told(self.now(), file.source, stated)
 
     # ---- between the watch and the directory --------------------------------------------------------------
@@ -189,14 +188,12 @@
         if not self.told.watch:
             return
         self.membership.watched(self.now(), self.wall(), update, cached, full)
-        usable = {id(line) for line in self.membership.raw.values()}
-        if len(usable) < len(self.membership.roster.lines):
-            for item in update["instances"]:
-                where = item.get("hostPort") if isinstance(item, dict) else None
-                if where not in self.membership.raw and (
-                    not isinstance(item, dict) or item.get("lifecycle") == "in_service"
-                ):
-                    say(f"discovery: bad entry {item!r:.200}")
+        for item in update["instances"]:
+            # What cannot be used is said; a line on a server that goes is no matter.
+            if not isinstance(item, dict) or (
+                item.get("lifecycle") == "in_service" and item.get("hostPort") not in self.membership.raw
+            ):
+                say(f"discovery: bad entry {item!r:.200}")
         self.settle()
 
     def reached(self, good: bool) -> None:
@@ -384,7 +381,7 @@
                 self.membership.worth(file.source, Credit.STALE)
         else:
             if self.files.get(file.source) is file:
-                file.why, file.used, file.boxes = "", now, len(stated)
+                file.why, file.used = "", now
                 self.membership.told(self.now(), file.source, stated)
         self.wake.set()
 
