--- a/harecross/dns/cli.py
+++ b/harecross/dns/cli.py
@@ -29,10 +29,9 @@
 ) -> None:
     """What a name holds: priority, weight, address and port of each endpoint, and how long it lives."""
     import asyncio
-    from ipaddress import ip_address
     from random import SystemRandom
 
-    from harecross.settings import address
+    from harecross.dns.servers import server_address
 
     try:
         from harecross.dns.client import Client, LookupFailed
@@ -40,9 +39,9 @@
         stop(f"dns query needs the extra `dns`: {e}")
     for server in resolver:
         try:
-            ip_address(address(server)[0].strip("[]"))
-        except ValueError:
-            stop(f"--resolver {server}: IP-ADDRESS:PORT is allowed")
+            server_address(server, "--resolver")
+        except ValueError as e:
+            stop(str(e))
 
     async def ask() -> tuple[Any, int]:
         client = Client(resolver, SystemRandom())
--- a/harecross/dns/client.py
+++ b/harecross/dns/client.py
@@ -12,14 +12,13 @@
 from harecross.dns.frames import Frames, framed
 from harecross.dns.lookup import Lookup, Send
 from harecross.dns.message import Question, Reply, plain
-from harecross.dns.servers import Servers
+from harecross.dns.servers import TLS, Servers
 from harecross.dns.srv import Found, Resolution
 from harecross.settings import address
 
 IDLE = 5.0  # seconds after which a connection without a question is closed (RFC 7766, 6.2.3)
 ASK_MOST = 32  # lookups at once for one name's addresses
 SOCKETS_MOST = 16  # lookups at once of one client, each with a socket: descriptors are for callers
-TLS = "tls://"  # before a server's address: DNS over TLS (RFC 7858)
 
 
 class LookupFailed(Exception):
--- a/harecross/dns/servers.py
+++ b/harecross/dns/servers.py
@@ -4,8 +4,12 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from ipaddress import ip_address
 from random import Random
 
+from harecross.settings import address
+
+TLS = "tls://"  # before a server's address: DNS over TLS (RFC 7858)
 FIRST = 0.2  # seconds: the round-trip of a server never asked
 GAIN, DEVIATION_GAIN = 1 / 8, 1 / 4  # RFC 6298, 2
 LEAST, MOST = 0.05, 3.0  # seconds that one try may take
@@ -15,6 +19,16 @@
 EDNS_AGAIN = 900.0  # seconds after which a server that did not know EDNS is asked with it again
 
 
+def server_address(text: str, where: str) -> tuple[str, int]:
+    """The address of a DNS server. ValueError for a name: a resolver cannot resolve itself."""
+    try:
+        host, port = address(text.removeprefix(TLS))
+        ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError(f"{where}: {text!r}: IP-ADDRESS:PORT or tls://IP-ADDRESS:PORT is allowed") from None
+    return host, port
+
+
 @dataclass(slots=True)
 class Server:
     """One server; times are seconds."""
@@ -29,7 +43,7 @@
     @property
     def stream(self) -> bool:
         """Whether it is asked over a connection only (RFC 7858)."""
-        return self.address.startswith("tls://")
+        return self.address.startswith(TLS)
 
     def patience(self, tries: int) -> float:
         """How long a try may take, the `tries`-th of one lookup at this server, from 0."""
--- a/harecross/shifts/controller.py
+++ b/harecross/shifts/controller.py
@@ -47,7 +47,8 @@
         before = self.shift.to_doc()
         decision = self.shift.window(now, wall, listed, open_on_candidate)
         due = decision is not None or self.unwritten is not None or now - self.kept_at >= KEEP_S
-        if due and not self.write(now, wall, decision) and not self.undoes(decision):
+        written = not due or self.write(now, wall, decision)
+        if decision is not None and not written and not self.undoes(decision):
             # Guards against: a share that nobody wrote down is on the wire when this process is killed.
             self.shift.restore(now, before)
             decision = None
@@ -55,14 +56,12 @@
             self.tell(self.lease.token, self.shift.share)
         return decision
 
-    def undoes(self, decision: Decision | None) -> bool:
+    def undoes(self, decision: Decision) -> bool:
         """Whether it takes the candidate's traffic away: done also where it cannot be written, and written later.
 
         Guards against: the disk is full, and the candidate goes on doing harm for as long as it is.
         """
-        return (
-            self.lease is not None and self.shift.share == 0.0 and (decision is None or decision.share == 0.0)
-        )
+        return self.lease is not None and decision.share == 0.0
 
     def order(self, now: float, wall: float, what: str) -> Decision:
         """An operator's word. Refused where it does not fit, this controller does not lead, or it cannot be
--- a/harecross/shifts/judge.py
+++ b/harecross/shifts/judge.py
@@ -172,7 +172,7 @@
         return {
             f"{klass}/{kind}": {
                 "starts": [[round(x, 4) for x in logs] for logs in bet.starts],
-                "windows": bet.windows, "at_risk": bet.at_risk, "harmed": bet.harmed,
+                "windows": bet.windows, "at_risk": list(bet.at_risk), "harmed": list(bet.harmed),
             }
             for (klass, kind), bet in self.bets.items()
         }  # fmt: skip
--- a/harecross/sources/config.py
+++ b/harecross/sources/config.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated
 
 import msgspec
 
-from harecross.settings import address
+from harecross.dns.servers import server_address
 from harecross.sources.files import BadFile, read_file
 from harecross.sources.ledger import Limits
 
 Rank = Annotated[int, msgspec.Meta(ge=0, le=1000)]
 Seconds = Annotated[float, msgspec.Meta(ge=0.05, le=7 * 86_400)]
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
-TLS = "tls://"
 
 
 class Srv(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -118,13 +116,3 @@
         return plain(text)
     except ValueError as e:
         raise ValueError(f"{where}: {e}") from None
-
-
-def server_address(text: str, where: str) -> tuple[str, int]:
-    """The address of a DNS server. ValueError for a name: a resolver cannot resolve itself."""
-    try:
-        host, port = address(text.removeprefix(TLS))
-        ip_address(host.strip("[]"))
-    except ValueError:
-        raise ValueError(f"{where}: {text!r}: IP-ADDRESS:PORT or tls://IP-ADDRESS:PORT is allowed") from None
-    return host, port
--- a/harecross/sources/run.py
+++ b/harecross/sources/run.py
@@ -148,7 +148,8 @@
         self.asked[source] = Asked(srv, source, name, client)
 
     def client(self, servers: Sequence[str]) -> Client:
-        from harecross.dns.client import TLS, Client
+        from harecross.dns.client import Client
+        from harecross.dns.servers import TLS
 
         key = (tuple(servers), self.told.tls_ca, self.told.tls_name)
         if key not in self.clients:
--- a/tests/test_shifts.py
+++ b/tests/test_shifts.py
@@ -275,6 +275,28 @@
     assert store.records(KIND, PLAN.name)[-1].body["why"] == "undone by an operator"
 
 
+def test_what_was_seen_survives_a_store_that_cannot_be_written_and_a_decision_taken_back(tmp_path):
+    store = Store(str(tmp_path / "store"))
+    controller = Controller(PLAN, ("read",), store, "one", lambda token, share: None, 0.0)
+    controller.order(0.0, 0.0, "start")
+
+    def full(*args, **more):
+        raise StoreError("disk full")
+
+    store.put = full
+    for now in range(1, 16):
+        tries = [Try(now * 100 + n, "read", n % 2 == 0, 0.1, False, False) for n in range(20)]
+        controller.step(float(now), float(now), tries, UP, 0)
+    bet = controller.shift.judge.bets["read", "errors"]
+    assert bet.at_risk == [150, 150] and controller.shift.in_step == 15.0
+    with pytest.raises(Refused):
+        controller.order(16.0, 16.0, "pause")
+    assert bet.at_risk == [150, 150]
+    doc = controller.shift.judge.to_doc()
+    bet.window((1, 1), (0, 0), 1.0)
+    assert doc["read/errors"]["at_risk"] == [150, 150], "what is kept does not change with what is seen later"
+
+
 def test_a_plan_edited_while_it_runs_pauses_until_an_operator_says(tmp_path):
     path = str(tmp_path / "store")
     one = Controller(PLAN, ("read",), Store(path), "one", lambda token, share: None, 0.0)
