A failed connect is no sign of overload: a release no longer closes the limit of front nodes

Servers that had been replaced refused connects, more of them than may be ejected; each failed connect raised `lost` past LOST_MOST and from there added a sample of twice the target, down to the floor (concurrency_limit 4.29). Change: CONNECT_FAILED joins REJECTED and RESET in what tells nothing of a server's load. A tier that can't be reached stays bounded by the limit on calls in flight and the attempt cap, and comes back; a test plays that.

--- a/harecross/policy/health.py
+++ b/harecross/policy/health.py
@@ -24,6 +24,7 @@
 OUTLIER = 2.0  # a member so many times slower than the subset does not speak for it
 COLD_GROWS = 2_000_000  # over so long that part doubles while calls are answered in good time
 COLD_PART = 0.25  # of the multiple at which a cold server falls over, where no member is warm
+UNLOADED = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.RESET)  # tell nothing of a server's load
 FAIL_PRIOR = 2  # a member's first outcomes count as if so many good ones had come before
 SPILL_GAIN = 0.1  # a window moves the share of calls that may leave the zone by this part of the imbalance
 SPILL_STEP = 0.04  # and by so much at most
@@ -72,8 +73,8 @@
         bad = 0.0 if ok or outcome == Outcome.TIMEOUT else 1.0
         srv.fail_rate += max(SMOOTH, 1 / (srv.calls + FAIL_PRIOR)) * (bad - srv.fail_rate)
         self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
-        # A reset or an overtaken time-out is a connection's end, and no sign that the server is overloaded.
-        if not (srv.ejected or overtaken or outcome in (Outcome.REJECTED, Outcome.RESET)):
+        # A reset, a failed connect or an overtaken time-out is a connection's end, and no sign of overload.
+        if not (srv.ejected or overtaken or outcome in UNLOADED):
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
             if bad and r is not None and ctl.losing():
                 # Failure prevented: the tiers below have lost servers, most calls sink work and come back as
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -422,6 +422,58 @@
     assert node.controller.floor < usual and node.controller.limit < 0.6 * usual
 
 
+def refusing(rounds: int, refuse) -> tuple[Balancer, list[int]]:
+    """A copy of ten members in full traffic; from the second half on those that `refuse` names refuse connects.
+
+    Returns it with the attempts of each request of the second half.
+    """
+    node, rec = balancer(10, instances=4)
+    out: list[tuple[int, int, int, int]] = []  # (ends, request, attempt, server)
+    now, tries = 0, {}
+    for step in range(2 * rounds):
+        now += 5_000
+        for item in [o for o in out if o[0] <= now]:
+            out.remove(item)
+            _, request, attempt, server = item
+            down = step >= rounds and refuse(server)
+            took = 1_000 if down else 100_000
+            for action in end(
+                node, rec, now, request, attempt, server, Outcome.CONNECT_FAILED if down else Outcome.OK, took
+            ):
+                if action[0] == "send":
+                    out.append((now + 1_000, request, attempt + 1, action[2]))
+                    tries[request] += step >= rounds
+        action = ask(node, rec, now, now, 2)
+        tries[now] = int(step >= rounds and action[0] == "send")
+        if action[0] == "send":
+            down = step >= rounds and refuse(action[2])
+            out.append((now + (1_000 if down else 100_000), now, 0, action[2]))
+        assert node.controller.in_flight <= node.controller.allowed() + 4
+    return node, [n for at, n in tries.items() if at > rounds * 5_000]
+
+
+def test_members_that_refuse_connects_do_not_close_the_limit():
+    """Replaced servers refuse at once, more of them than may be ejected; the others answer as ever."""
+    before, _ = refusing(2000, lambda server: False)
+    node, tries = refusing(2000, lambda server: server > 3)
+    assert node.controller.limit > 0.6 * before.controller.limit
+    assert sum(n == 0 for n in tries) < 0.02 * len(tries)
+
+
+def test_a_tier_of_which_nothing_can_be_reached_is_asked_no_more_than_the_attempt_cap_and_comes_back():
+    node, tries = refusing(1000, lambda server: True)
+    assert 1 <= max(tries) <= 4 and node.requests.keys() <= set(range(0, 20_000_000, 5_000))
+    limit, rec, now = node.controller.limit, node.actions, 11_000_000
+    served = 0
+    for _ in range(200):
+        now += 10_000
+        action = ask(node, rec, now, now, 2)
+        if action[0] == "send":
+            end(node, rec, now + 5_000, now, 0, action[2], Outcome.OK, 5_000)
+            served += 1
+    assert served > 195 and node.controller.limit >= limit / 2
+
+
 def test_a_member_that_has_just_turned_slow_loses_draws_before_its_calls_return():
     """Its averages still look good: what tells is that its calls have been out for longer than the mean."""
     node, rec = balancer(2)
