Lists are asked for in turns: a fleet that loses all its watches at once no longer collapses

Change: core/asking.py, a machine free of I/O, in the node, the adapter and the control service's feed. A watch that ended by itself is asked for within half a second; one that fell silent in this node's place of a round of 5 s, by its number; a failed call pauses 4 s, then takes a place in a round that doubles.

--- a/harecross/adapter.py
+++ b/harecross/adapter.py
@@ -6,10 +6,13 @@
 from __future__ import annotations
 
 import sys
+from random import Random
 from struct import Struct
 from struct import error as StructError
 from typing import Any, BinaryIO
 
+from harecross.core.asking import Asking, End, asking_terms
+from harecross.core.asking import State as Standing
 from harecross.interface import ListKind, Outcome, ServerEntry, State
 from harecross.policy.balancer import Balancer
 from harecross.settings import read_settings
@@ -56,6 +59,7 @@
 REPEAT_FLAG = 2
 LONGEST_TIMER = 4_260_000_000
 EVERY_PEER = 0xFFFF
+ASK_AGAIN = 1 << 56  # the token of a timer of the adapter's own; the module's have another top byte
 
 
 class WireError(Exception):
@@ -116,6 +120,7 @@
     def __init__(self) -> None:
         self.out = bytearray()
         self.nodes: dict[int, Balancer] = {}
+        self.asking: dict[int, Asking] = {}  # where lists are asked for
         self.banks: dict[int, list[ServerEntry]] = {}
 
     def batch(self, count: int, body: bytes, now: int) -> bytes:
@@ -154,8 +159,11 @@
         node, seed, size = CREATE.unpack_from(body, pos)
         pos += CREATE.size
         text = take(body, pos, size)
-        balancer = Balancer(read_settings(text), seed, WireActions(self.out, node))
-        self.nodes[node] = balancer
+        settings = read_settings(text)
+        self.nodes[node] = Balancer(settings, seed, WireActions(self.out, node))
+        if settings.list_on_request:
+            self.asking[node] = Asking(asking_terms(settings), Random(seed))
+            self.asking[node].calling(now / 1e6)
         self.tell(node, "start", now)
         return pos + int(size)
 
@@ -181,8 +189,22 @@
                 raise WireError(f"list {bank} was never sent")
             entries = self.banks[bank]
         self.tell(node, "server_list", now, list_kind, entries)
+        if node in self.asking and list_kind != ListKind.CACHED:
+            self.heard(now / 1e6, node, list_kind != ListKind.FAILED)
         return pos + TARGETS.size
 
+    def heard(self, now: float, node: int, good: bool) -> None:
+        """A call for the list was answered or failed, or its subscription brought a change or ended."""
+        asking = self.asking[node]
+        if good:
+            asking.word(now)
+            asking.good()
+            return
+        if asking.state is Standing.WAITING:
+            return
+        asking.ended(now, End.ENDED if asking.state is Standing.SUBSCRIBED else End.FAILED)
+        WireActions(self.out, node).set_timer(int((asking.next_at - now) * 1e6), ASK_AGAIN)
+
     def accept(self, now: int, body: bytes, pos: int) -> int:
         node, request, _, tenant, flags, left, _, klass = ACCEPT.unpack_from(body, pos)
         self.tell(node, "request", now, request, klass, tenant, left, bool(flags & REPEAT_FLAG))
@@ -206,12 +228,17 @@
 
     def wake(self, now: int, body: bytes, pos: int) -> int:
         node, token = WAKE.unpack_from(body, pos)
-        self.tell(node, "timer", now, token)
+        if token != ASK_AGAIN:
+            self.tell(node, "timer", now, token)
+        elif node in self.nodes:
+            self.asking[node].calling(now / 1e6)
+            WireActions(self.out, node).watch(True)
         return pos + WAKE.size
 
     def shutdown(self, now: int, body: bytes, pos: int) -> int:
         (node,) = SHUTDOWN.unpack_from(body, pos)
         self.nodes.pop(node, None)
+        self.asking.pop(node, None)
         return pos + SHUTDOWN.size
 
     def peer_data(self, now: int, body: bytes, pos: int) -> int:
--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -7,20 +7,20 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from random import Random
 from typing import Any, NamedTuple, Protocol, cast
 
 from httptools import HttpParserError, HttpResponseParser
 
+from harecross.core.asking import Asking, End, Terms
 from harecross.core.host import Host, guard, say
 from harecross.core.servers import Servers, clock
 from harecross.interface import ListKind, ServerEntry, State
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENCE = 2.5  # seconds; an empty line comes every 2
-FIRST_WORD = 1.0  # seconds for a watch that is pushed to say anything: its agent answers at once
-BACKOFF_FIRST, BACKOFF_MOST = 0.05, 0.5
-CONNECT = 1.0
+CONNECT = 1.0  # seconds
 LINE_MOST = 1 << 22
+PUSHED = Terms()
 COLD_MOST = 60_000_000  # microseconds after which a server put back is warm anywhere
 
 
@@ -222,16 +222,16 @@
 class Stream(asyncio.Protocol):
     """One call to discovery: a whole list, or a watch that lasts until its connection ends."""
 
-    def __init__(self, watch: Watch, path: bytes) -> None:
+    def __init__(self, watch: Watch, path: bytes, asking: Asking) -> None:
         self.watch = watch
+        self.asking = asking
         self.path = path
         self.transport: asyncio.Transport | None = None
         self.parser = HttpResponseParser(self)
         self.buffer = b""
         self.ended = asyncio.get_running_loop().create_future()
-        self.heard = time.monotonic()
-        self.patience = SILENCE if watch.discovery.asked else FIRST_WORD
         self.good = False  # an answer has brought something usable
+        self.bad = False  # it has brought what could not be read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -241,13 +241,15 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        self.heard, self.patience = time.monotonic(), SILENCE
         self.watch.discovery.lists.reached(True)
         try:
             self.parser.feed_data(data)
         except HttpParserError as e:
             say(f"discovery: bad answer: {e}")
+            self.bad = True
             self.stop()
+        if self.good:
+            self.asking.word(time.monotonic())
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.ended.done():
@@ -280,7 +282,7 @@
             # Guards against: a change that could not be read is missed for good. The next watch starts
             # after the last one that could.
             say(f"discovery: bad line {line[:200]!r}: {e}")
-            self.good = False
+            self.good, self.bad = False, True
             self.stop()
         except Exception:
             guard("discovery")
@@ -292,17 +294,22 @@
 
 
 class Watch:
-    """A watch at one address, opened anew whenever it ends, until `close`."""
+    """A watch at one address, opened anew when its `Asking` says, until `close`."""
 
-    def __init__(self, discovery: Discovery, address: tuple[str, int], generation: int | None) -> None:
+    def __init__(
+        self, discovery: Discovery, address: tuple[str, int], generation: int | None, asking: Asking
+    ) -> None:
         self.discovery = discovery
         self.address = address
         self.generation = generation  # the last version read; None before the first whole list
+        self.asking = asking
         self.closed = False
+        asking.begin(time.monotonic())
         self.task = discovery.loop.create_task(self.run())
 
     def close(self) -> None:
         self.closed = True
+        self.asking.stop()
         self.task.cancel()
 
     def told(self, update: Any) -> None:
@@ -315,36 +322,38 @@
             self.generation = generation
         elif self.generation is None:
             self.generation = 0
+        self.asking.good()
         self.discovery.settled(self)
 
     async def run(self) -> None:
-        wait = BACKOFF_FIRST
         while True:
-            if self.generation is None:
-                good = await self.call(b"/catalog/members") and self.generation is not None
-                if good:
-                    continue
-            else:
-                good = await self.call(b"/catalog/members?watch=1&after=%d" % self.generation)
+            await asyncio.sleep(max(0.0, self.asking.next_at - time.monotonic()))
+            path, had = b"/catalog/members", self.generation
+            if had is not None:
+                path += b"?watch=1&after=%d" % had
+            self.asking.calling(time.monotonic())
+            end = await self.call(path, self.asking)
+            if had is None and self.generation is not None and end is End.ENDED:
+                self.asking.begin(time.monotonic())  # the whole list is here: its watch follows
+                continue
+            self.asking.ended(time.monotonic(), end)
             if self.discovery.asked and self.discovery.current is self:
                 self.discovery.failed()
-                return
-            wait = BACKOFF_FIRST if good else min(2 * wait, BACKOFF_MOST)
-            await asyncio.sleep(wait)
 
-    async def call(self, path: bytes) -> bool:
-        """One call from connect to end; whether it brought anything."""
-        stream = Stream(self, path)
+    async def call(self, path: bytes, asking: Asking) -> End:
+        """One call from connect to end, and how it ended."""
+        stream = Stream(self, path, asking)
+        end: End | None = None
         try:
             async with asyncio.timeout(CONNECT):
                 await self.discovery.loop.create_connection(lambda: stream, *self.address)
             # Guards against: a machine that has gone leaves the connection open and silent; and two silent
             # watches in a row outlast the time after which a change is binding.
-            stream.heard = time.monotonic()
             while not stream.ended.done():
-                left = stream.heard + stream.patience - time.monotonic()
+                left = asking.patience_ends() - time.monotonic()
                 if left <= 0:
                     say("discovery: silent")
+                    end = End.SILENT
                     break
                 await asyncio.wait([stream.ended], timeout=left)
         except (OSError, TimeoutError) as e:
@@ -352,24 +361,35 @@
         finally:
             stream.stop()
         self.discovery.lists.reached(False)
-        return stream.good
+        if stream.bad:
+            return End.BROKEN
+        if not stream.good:
+            return End.FAILED
+        return end or End.ENDED
 
 
 class Discovery:
     """The watch in use and, while the node moves to another address, the one that comes up there.
 
-    Where lists are pushed a watch comes back by itself; where they are asked for, the module is told of
-    the end and asks again when it wants.
+    A watch comes back by itself when its `Asking` says; where lists are asked for, the module is told of the end.
     """
 
     def __init__(
-        self, directory: Directory, address: tuple[str, int], asked: bool, lists: Lists | None = None
+        self,
+        directory: Directory,
+        address: tuple[str, int],
+        terms: Terms = PUSHED,
+        lists: Lists | None = None,
+        seed: int = 0,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.directory = directory
         self.lists = lists or directory
         self.address = address
-        self.asked = asked
+        self.terms = terms
+        self.asked = terms.asked
+        self.rng = Random(seed)
+        self.asking = Asking(terms, self.rng)
         self.generation: int | None = 0
         self.current: Watch | None = None
         self.coming: Watch | None = None
@@ -390,7 +410,7 @@
                 watch.close()
         self.current = self.coming = None
         if on:
-            self.current = Watch(self, self.address, self.generation)
+            self.current = Watch(self, self.address, self.generation, self.asking)
 
     def move(self, address: tuple[str, int]) -> bool:
         """Goes to another address; False if that is where the node is, or is going, already.
@@ -410,7 +430,7 @@
         elif address == self.current.address:
             return True  # back before the other one had come up
         else:
-            self.coming = Watch(self, address, None)
+            self.coming = Watch(self, address, None, Asking(self.terms, self.rng))
         return True
 
     def settled(self, watch: Watch) -> None:
@@ -419,7 +439,7 @@
         if watch is self.coming:
             if self.current is not None:
                 self.current.close()
-            self.current, self.coming = watch, None
+            self.current, self.coming, self.asking = watch, None, watch.asking
             say(f"discovery: moved to {watch.address[0]}:{watch.address[1]}")
 
     def fetch(self) -> None:
@@ -429,10 +449,11 @@
 
     async def ask_once(self) -> None:
         watch = self.current
-        good = False
-        if watch is not None:
-            good = await watch.call(b"/catalog/members")
-        if not good:
+        if watch is None:
+            return self.failed()
+        once = Asking(self.terms, self.rng)  # what the call brings is no word of the watch that is open
+        once.calling(time.monotonic())
+        if await watch.call(b"/catalog/members", once) is not End.ENDED:
             self.failed()
 
     def failed(self) -> None:
--- /dev/null
+++ b/harecross/fleet/rehearsal.py
@@ -0,0 +1,230 @@
+"""A rehearsal: nodes that listen, one discovery, a trigger, and who knew what when. One seed, the same day every time.
+
+At the trigger every watch falls silent, breaks or ends (or every node restarts); discovery may be down for a while.
+Changes are listed at stated times, and reach the nodes whose watch is open. A drain that a node has not heard of
+when it becomes binding is counted, were the node to go on sending (PROTOCOL, "Figures").
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import ceil, inf
+from random import Random
+
+from harecross.core.asking import BEAT, BINDING, Asking, End, State, Terms
+from harecross.fleet.discovery import Desk, Shape
+
+TRIGGERS = ("silent", "ended", "broken", "restart", "down")
+Build = Callable[[Terms, Random], Asking]
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """What is rehearsed. Times in seconds from the start. ValueError where it cannot be."""
+
+    nodes: int = 40
+    seed: int = 1
+    discovery: Shape = Shape()
+    within: float = 10.0  # the longest silence allowed to a node without a watch
+    trigger: str = "silent"
+    at: float = 10.0  # when the trigger comes
+    backlog: float = 0.0  # seconds of work that stand in discovery's line at that moment
+    down: float = 5.0  # trigger "down": discovery refuses calls for so long
+    spoilt: float = 0.0  # share of answers that break off or cannot be read
+    change: float = 0.5  # a drain is listed so long after the trigger...
+    more: float = 0.0  # ...and again this far apart, where it is above 0
+    length: float = 120.0
+
+    def __post_init__(self) -> None:
+        if self.nodes < 1:
+            raise ValueError("nodes: 1 or more")
+        if self.trigger not in TRIGGERS:
+            raise ValueError(f"trigger: {self.trigger!r} is none of {', '.join(TRIGGERS)}")
+        if not 0 <= self.spoilt < 1:
+            raise ValueError("spoilt: 0 or more, and under 1")
+        for key in ("within", "length"):
+            if getattr(self, key) <= 0:
+                raise ValueError(f"{key}: above 0")
+        for key in ("at", "backlog", "down", "change", "more"):
+            if getattr(self, key) < 0:
+                raise ValueError(f"{key}: 0 or more")
+
+
+@dataclass(slots=True)
+class Result:
+    """A rehearsal played. Times in seconds after the trigger; inf for what never came."""
+
+    day: Day
+    back: list[float]  # when each node listened again, in order
+    knew: list[float]  # how long after the first drain was listed each node knew
+    calls: Counter[int] = field(default_factory=Counter)  # calls that came to discovery, by second
+    answered: Counter[int] = field(default_factory=Counter)
+    line: dict[int, float] = field(default_factory=dict)  # seconds of work in line, by second
+    late: int = 0  # drains that were binding at a node before it knew, all nodes and drains together
+    in_vain: int = 0
+    turned_away: int = 0
+
+    def share(self, part: float) -> float:
+        """When that part of the nodes listened again."""
+        return self.back[ceil(part * len(self.back)) - 1]
+
+    @property
+    def recovered(self) -> bool:
+        """Whether every node listened again by the end."""
+        return self.back[-1] < inf
+
+
+def bound(day: Day) -> float:
+    """The soonest that every node can have been answered after a trigger that all notice at once, by arithmetic.
+
+    Calls divided by rate, behind what stood in line, from the moment a silence can be known.
+    """
+    known = BEAT if day.trigger == "silent" else day.down if day.trigger == "down" else 0.0
+    return known + max(0.0, day.backlog - known) + day.nodes / day.discovery.rate
+
+
+class Node:
+    """One node of the rehearsal."""
+
+    __slots__ = ("asking", "version", "turn", "back")
+
+    def __init__(self, asking: Asking) -> None:
+        self.asking = asking
+        self.version = 0  # changes that it knows
+        self.turn = 0  # of its events: what was planned before the last change of state is void
+        self.back = inf
+
+
+class Rehearsal:
+    """The day's events in order."""
+
+    def __init__(self, day: Day, build: Build = Asking) -> None:
+        self.day = day
+        self.rng = Random(day.seed)
+        self.desk = Desk(day.discovery)
+        self.nodes = [
+            Node(build(Terms(True, day.nodes, i, day.within), Random(self.rng.getrandbits(64))))
+            for i in range(day.nodes)
+        ]
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.count = 0
+        self.version = 0  # changes listed so far
+        self.listed: list[float] = []
+        self.knew: list[list[float]] = []  # by change: when each node knew of it
+        self.result = Result(day, [], [])
+
+    def later(self, at: float, what: Callable[[float], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.events, (at, self.count, what))
+
+    def run(self) -> Result:
+        day = self.day
+        for node in self.nodes:
+            # A fleet that has run for long: every watch is open, and was spoken to within one beat.
+            node.asking.calling(0.0)
+            node.asking.word(day.at)
+            node.asking.good()
+        self.later(day.at, self.trigger)
+        at = day.at + day.change
+        while at < day.length:
+            self.later(at, self.change)
+            at = at + day.more if day.more > 0 else inf
+        while self.events and self.events[0][0] <= day.length:
+            now, _, what = heapq.heappop(self.events)
+            what(now)
+        return self.close()
+
+    def close(self) -> Result:
+        r, day = self.result, self.day
+        r.back = sorted(node.back - day.at for node in self.nodes)
+        for at, knew in zip(self.listed, self.knew, strict=True):
+            took = sorted(t - at for t in knew) + [inf] * (len(self.nodes) - len(knew))
+            if not r.knew:
+                r.knew = took
+            if at + BINDING <= day.length:
+                r.late += sum(t > BINDING for t in took)
+        r.in_vain, r.turned_away = self.desk.in_vain, self.desk.turned_away
+        return r
+
+    # ---- events -------------------------------------------------------------------------------------------
+
+    def trigger(self, now: float) -> None:
+        day = self.day
+        self.desk.free_at = now + day.backlog
+        end = {"silent": End.SILENT, "broken": End.BROKEN}.get(day.trigger, End.ENDED)
+        for node in self.nodes:
+            node.turn += 1
+            if day.trigger == "restart":
+                node.asking = type(node.asking)(node.asking.terms, Random(self.rng.getrandbits(64)))
+                node.asking.begin(now)
+                self.plan(node)
+            elif end is End.SILENT:
+                # The last word came up to a beat ago; all heard it at once, as the beats of one service come.
+                self.later(now + BEAT, self.ends(node, end))
+            else:
+                self.ends(node, end)(now)
+
+    def change(self, now: float) -> None:
+        self.version += 1
+        self.listed.append(now)
+        self.knew.append([])
+        for node in self.nodes:
+            if node.asking.state is State.SUBSCRIBED and node.back < inf:
+                self.learn(node, now)
+
+    def learn(self, node: Node, now: float) -> None:
+        for version in range(node.version, self.version):
+            self.knew[version].append(now)
+        node.version = self.version
+
+    def ends(self, node: Node, end: End) -> Callable[[float], None]:
+        turn = node.turn
+
+        def event(now: float) -> None:
+            if node.turn == turn:
+                node.asking.ended(now, end)
+                self.plan(node)
+
+        return event
+
+    def plan(self, node: Node) -> None:
+        node.turn += 1
+        turn = node.turn
+
+        def event(now: float) -> None:
+            if node.turn == turn:
+                self.call(node, now)
+
+        self.later(node.asking.next_at, event)
+
+    def call(self, node: Node, now: float) -> None:
+        day, r = self.day, self.result
+        node.asking.calling(now)
+        r.calls[int(now - day.at)] += 1
+        if day.trigger == "down" and now < day.at + day.down:
+            self.ends(node, End.FAILED)(now)
+            return
+        reply = self.desk.call(now)
+        r.line[int(now - day.at)] = self.desk.backlog(now)
+        if not reply.good:
+            self.later(reply.at, self.ends(node, End.FAILED))
+            return
+        spoilt = self.rng.random() < day.spoilt
+        turn = node.turn
+
+        def word(at: float) -> None:
+            if node.turn != turn:
+                return
+            node.asking.word(at)
+            if spoilt:
+                self.ends(node, End.BROKEN)(at)
+                return
+            node.asking.good()
+            r.answered[int(at - day.at)] += 1
+            node.back = at
+            self.learn(node, at)
+
+        self.later(reply.at, word)
--- a/harecross/interface.py
+++ b/harecross/interface.py
@@ -93,6 +93,7 @@
     tiers: int = 1
     zone: int = 0
     instances: int = 1  # instances that send to this tier, this one included
+    number: int = 0  # this one's number among them
     tick: int = 1000  # least time between two batches of events
     max_attempts: int = 1
     cancel: bool = False
@@ -125,6 +126,7 @@
             need(t.quota >= 0, f"tenants[{i}].quota")
         need(0 <= self.tier < self.tiers, "tier")
         need(self.instances >= 1, "instances")
+        need(self.number >= 0, "number")
         need(self.max_attempts >= 1, "max_attempts")
         need(self.max_open >= 1, "max_open")
         need(self.tick > 0, "tick")
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from harecross.core.asking import asking_terms
 from harecross.core.discovery import Directory, Discovery, Lists
 from harecross.core.host import Host, say
 from harecross.core.requests import Reader
@@ -129,7 +130,7 @@
         if more_sources is not None:
             self.more_sources = more_sources(self.directory)
         self.discovery = Discovery(
-            self.directory, config.discovery, settings.list_on_request, self.more_sources
+            self.directory, config.discovery, asking_terms(settings), self.more_sources, config.seed
         )
         self.host.on_watch, self.host.on_fetch = self.watch, self.fetch
         reader = Reader(settings, config.classes, config.tenants)
--- a/harecross/policy/balancer.py
+++ b/harecross/policy/balancer.py
@@ -16,7 +16,7 @@
 TRY_DEVIATIONS = 4  # from the mean round-trip and so many mean deviations on (RFC 6298) a call may be lost...
 TRY_MOST = 8  # ...and from so many on it is taken for lost without its server's word
 SHARE_WORTH = 0.5  # calls beyond a share are refused at once where they are worth less than this part
-TIMER_LIST, TIMER_HELD, TIMER_TRY = 1, 2, 3  # in a token's top byte
+TIMER_HELD, TIMER_TRY = 2, 3  # in a token's top byte
 TOKEN_BITS, TRY_BITS = 56, 8
 
 
@@ -34,14 +34,7 @@
 
     def server_list(self, now: int, kind: ListKind, entries: Sequence[ServerEntry]) -> None:
         if kind == ListKind.FAILED:
-            # Only asked-for lists fail. Jittered back-off, well inside the longest silence allowed.
-            self.list_failures += 1
-            base = max(self.settings.tick, self.settings.list_ask_within // 20)
-            delay = min(base << min(self.list_failures - 1, 3), max(base, self.settings.list_ask_within // 4))
-            self.actions.set_timer(int(delay * (0.5 + self.rng.random())), TIMER_LIST << TOKEN_BITS)
-            return
-        if kind != ListKind.CACHED:
-            self.list_failures = 0
+            return  # the list in hand holds; the host asks again (core/asking.py)
         latest = {e.server: e for e in entries}  # an entry twice: the last holds
         if kind != ListKind.CHANGES:
             for server in self.servers.values():
@@ -182,9 +175,7 @@
 
     def timer(self, now: int, token: int) -> None:
         kind, value = token >> TOKEN_BITS, token & ((1 << TOKEN_BITS) - 1)
-        if kind == TIMER_LIST:
-            self.actions.watch(True)
-        elif kind == TIMER_HELD:
+        if kind == TIMER_HELD:
             r = self.requests.get(value)
             if r is not None and r.held:
                 r.held = False
--- a/harecross/policy/state.py
+++ b/harecross/policy/state.py
@@ -86,7 +86,6 @@
         self.warm_sent = 0
         self.cold_part = 0.0  # of an even part of what is asked for: what members may get while all are cold
         self.asked = 0  # requests since the last window
-        self.list_failures = 0
         self.blocked = 0  # rq_blocked
         self.rank_classes()
 
--- a/harecross/settings.py
+++ b/harecross/settings.py
@@ -115,6 +115,7 @@
         tiers=max(1, len(env.texts("layers"))),
         zone=env.whole("zone", 0),
         instances=env.whole("group_size"),
+        number=env.whole("self_index", 0),
         tick=env.whole("tick"),
         max_attempts=limits.whole("max_attempts"),
         cancel=limits.flag("cancel"),
--- a/harecross/xds/feed.py
+++ b/harecross/xds/feed.py
@@ -115,7 +115,7 @@
         # ValueError for a file of addresses that cannot be used.
         self.sources = Sources(table, self.directory, name) if table.on else None
         where = address(told.discovery) if told.discovery else NOWHERE
-        self.discovery = Discovery(self.directory, where, False, self.sources)
+        self.discovery = Discovery(self.directory, where, lists=self.sources, seed=seed)
         self.schedule = Schedule(int(told.probe.interval_s * 1e6), Random(f"{seed}/{name}"))
         self.tasks: set[asyncio.Task[None]] = set()
         self.ending: asyncio.Task[None] | None = None
--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,246 @@
+"""Asking for lists: the machine by itself, a fleet of them before one discovery, and a node's own watch."""
+
+import asyncio
+import json
+import struct
+from dataclasses import replace
+from math import inf
+from random import Random
+
+import pytest
+from node_support import SETTINGS, config_from, config_of, run, until
+from test_adapter import ENV
+
+from harecross.adapter import ASK_AGAIN, Host
+from harecross.core import asking
+from harecross.core.asking import Asking, End, State, Terms
+from harecross.fleet.discovery import Desk, Shape
+from harecross.fleet.rehearsal import Day, Rehearsal, bound
+from harecross.fleet.waits import WAITS
+from harecross.node.__main__ import Node
+from harecross.standins.discovery import chunk, entry, line, update
+
+FLEET = Terms(True, 40, 7, 10.0)
+
+
+def subscribed(terms: Terms = FLEET, seed: int = 1) -> Asking:
+    a = Asking(terms, Random(seed))
+    a.begin(0.0)
+    assert a.next_at == 0.0
+    a.calling(0.0)
+    a.word(0.2)
+    a.good()
+    return a
+
+
+# ---- the machine ----------------------------------------------------------------------------------------
+
+
+def test_states_and_how_old_the_list_is():
+    a = Asking(FLEET, Random(1))
+    assert a.state is State.IDLE and a.next_at == inf and a.patience_ends() == inf
+    a.begin(1.0)
+    assert a.state is State.WAITING
+    a.calling(1.0)
+    assert a.state is State.ASKING and a.patience_ends() == 1.0 + asking.QUEUE
+    a.word(2.9)  # at the last moment of its wait
+    a.good()
+    assert a.state is State.SUBSCRIBED and a.waited == pytest.approx(1.9)
+    assert a.patience_ends() == 2.9 + asking.BEAT and a.binding_at() == 2.9 + asking.BINDING
+    assert not a.overdue(8.8) and a.overdue(9.0)
+    a.word(4.0)
+    assert not a.overdue(9.0)
+    a.stop()
+    a.ended(5.0, End.ENDED)
+    assert a.state is State.IDLE and a.next_at == inf
+
+
+def test_a_watch_that_ends_alone_is_asked_for_soon_and_a_silent_one_in_its_turn():
+    ended, silent = [], []
+    for number in range(40):
+        for end, waits in ((End.ENDED, ended), (End.SILENT, silent)):
+            a = subscribed(replace(FLEET, number=number))
+            a.ended(10.0, end)
+            waits.append(a.next_at - 10.0)
+    assert max(ended) <= asking.EARLY + asking.ALONE
+    assert max(silent) <= asking.EARLY + asking.ROUND
+    # One in each fortieth of the round: nodes stand evenly, whatever their seeds.
+    slots = sorted(int((w - asking.EARLY) / asking.ROUND * 40 + 40 - 40 * asking.GOLDEN) % 40 for w in silent)
+    assert len(set(slots)) >= 38
+
+
+def test_calls_that_fail_pause_and_their_rounds_grow_until_a_list_comes():
+    a = subscribed()
+    a.ended(0.0, End.SILENT)
+    longest, now = [], 0.0
+    for _ in range(8):
+        now = a.next_at
+        a.calling(now)
+        a.ended(now + 2, End.FAILED)
+        wait = a.next_at - now - 2
+        assert asking.PAUSE <= wait <= asking.PAUSE + a.round()
+        longest.append(a.round())
+    assert longest[:3] == [5.0, 10.0, 20.0] and longest[-1] == asking.ROUND_MOST * 10.0
+    a.calling(now)
+    a.word(now + 1)
+    a.good()
+    a.ended(now + 2, End.SILENT)
+    assert a.round() == asking.ROUND
+
+
+def test_an_answer_that_breaks_off_again_and_again_takes_its_turn():
+    a = subscribed()
+    waits = []
+    for _ in range(4):
+        a.calling(0.0)
+        a.word(1.0)
+        a.ended(1.0, End.BROKEN)
+        waits.append(a.round())
+        assert a.next_at - 1.0 <= asking.EARLY + (asking.ALONE if len(waits) < 2 else a.round())
+    assert waits[-1] > waits[0] and a.failures == 4
+
+
+def test_an_agent_is_asked_at_once():
+    a = subscribed(Terms())
+    a.ended(1.0, End.SILENT)
+    assert a.next_at == pytest.approx(1.0 + asking.BACKOFF_FIRST)
+    for _ in range(10):
+        a.calling(2.0)
+        a.ended(2.0, End.FAILED)
+    assert a.next_at == pytest.approx(2.0 + asking.BACKOFF_MOST)
+    a.calling(3.0)
+    assert a.patience_ends() == 3.0 + asking.FIRST_WORD
+
+
+# ---- the fleet ------------------------------------------------------------------------------------------
+
+
+def test_discovery_works_through_calls_whose_callers_have_been_failed():
+    desk = Desk(Shape(rate=2.0, timeout=2.0, overbook=2.0))
+    replies = [desk.call(0.0) for _ in range(12)]
+    assert [r.at for r in replies[:4]] == [0.5, 1.0, 1.5, 2.0] and all(r.good for r in replies[:4])
+    assert [(r.at, r.good) for r in replies[4:9]] == [(2.0, False)] * 5 and desk.in_vain == 5
+    assert replies[9].at == 0.0 and desk.turned_away == 3 and desk.backlog(0.0) == 4.5
+    assert not desk.call(2.4).good and desk.call(4.6).good
+
+
+def fleet(nodes: int, seconds: float, waits: str = "turns", **more):
+    """Nodes before a discovery that takes one call of each in so many seconds, the line as after a common start."""
+    shape = Shape(nodes / seconds)
+    day = Day(**{"nodes": nodes, "discovery": shape, "backlog": 0.85 * seconds, "length": 130.0, **more})
+    return Rehearsal(day, WAITS[waits]).run()
+
+
+@pytest.mark.parametrize("nodes", [40, 2000])
+def test_all_watches_silent_at_once_the_former_waits_collapse_for_good_and_turns_come_back(nodes):
+    for seconds, last in ((2.0, 2.0), (4.9, 1.2), (6.0, 1.8), (8.0, 3.4)):
+        r = fleet(nodes, seconds)
+        assert r.recovered and r.back[-1] <= last * bound(r.day), (seconds, r.back[-1], bound(r.day))
+        assert sum(r.calls.values()) <= 5 * nodes
+    for seconds in (6.0, 8.0):
+        former = fleet(nodes, seconds, "former")
+        assert former.share(0.5) == inf and sum(former.answered.values()) < 0.2 * nodes
+        # Not one was answered for the last minute, with a line that never gets shorter.
+        assert sum(n for second, n in former.answered.items() if second > 60) == 0
+        assert min(length for second, length in former.line.items() if second > 20) > 2.0
+
+
+def test_without_places_the_fleet_comes_together_and_is_failed_together():
+    mutant, turns = fleet(40, 4.9, "together"), fleet(40, 4.9)
+    assert turns.recovered and turns.in_vain < 10
+    assert mutant.in_vain > 2 * turns.in_vain and mutant.back[-1] > 2 * turns.back[-1]
+
+
+def test_two_nodes_are_back_as_soon_as_one_round_lets_them():
+    r = fleet(2, 2.0, backlog=0.0)
+    assert r.back[-1] <= asking.BEAT + asking.EARLY + asking.ROUND + 2.0 and r.in_vain == 0
+
+
+@pytest.mark.parametrize("trigger", ["ended", "broken", "restart", "down"])
+def test_other_triggers_come_back_too(trigger):
+    for seconds in (2.0, 4.9, 8.0):
+        r = fleet(40, seconds, trigger=trigger, backlog=0.0)
+        assert r.recovered and r.back[-1] <= 4 * bound(r.day) + asking.PAUSE
+
+
+def test_more_nodes_than_can_be_answered_within_the_longest_silence_come_back_all_the_same():
+    """What is given up: most are without a word for longer than a drain takes to be binding; nobody for good."""
+    r = fleet(200, 16.0, within=10.0)
+    assert r.recovered and r.late > 0 and r.knew[-1] < 130
+
+
+def test_answers_that_break_off_do_not_keep_the_fleet_away():
+    r = fleet(40, 4.9, spoilt=0.3)
+    assert r.recovered and r.back[-1] < 4 * bound(r.day)
+
+
+def test_a_thousand_seeds_come_back_and_replay_exactly():
+    worst = 0.0
+    for seed in range(1000):
+        r = fleet(40, 4.9, seed=seed, length=60.0)
+        assert r.recovered
+        worst = max(worst, r.back[-1] / bound(r.day))
+    assert worst < 1.9
+    assert fleet(40, 4.9, seed=77).back == fleet(40, 4.9, seed=77).back
+
+
+def test_where_discovery_has_room_no_drain_counts_as_told_before_it_is_known():
+    for seed in range(200):
+        r = fleet(40, 2.0, seed=seed, change=2.5, more=1.0, length=40.0, backlog=0.0)
+        assert r.recovered and r.late == 0
+
+
+# ---- the two hosts --------------------------------------------------------------------------------------
+
+
+def test_a_node_whose_watch_falls_silent_asks_in_its_turn_and_one_that_is_failed_pauses(monkeypatch):
+    for name, value in (("BEAT", 0.2), ("ROUND", 0.2), ("PAUSE", 0.1), ("ALONE", 0.02), ("EARLY", 0.01)):
+        monkeypatch.setattr(asking, name, value)
+
+    async def test() -> None:
+        came: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            came.put_nowait(writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        known = update(41, entry("s1", "127.0.0.1:1"), reset=True)
+        asked = {**SETTINGS, "discovery": "ask"}
+        node = Node(config_from(config_of(address, known=known, settings=asked)))
+        task = asyncio.create_task(node.run())
+        await node.ready.wait()
+        a = node.discovery.asking
+        writer = await came.get()
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(chunk(line(42)))
+        await until(lambda: a.state is State.SUBSCRIBED)
+        writer = await came.get()  # the first one has fallen silent
+        assert a.failures == 0 and a.calls == 2
+        writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        writer = await came.get()
+        assert a.failures == 1
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(chunk(line(43, entry("s1", "127.0.0.1:1", "terminating"))))
+        await until(lambda: not node.directory.listed)
+        assert a.failures == 0 and a.state is State.SUBSCRIBED
+        task.cancel()
+
+    run(test())
+
+
+def test_the_adapter_asks_again_by_the_same_machine():
+    host = Host()
+    text = json.dumps({**ENV, "discovery": "ask"}).encode()
+    host.batch(1, struct.pack("<BHQI", 6, 3, 1, len(text)) + text, 0)
+    assert host.asking[3].state is State.ASKING
+    failed = struct.pack("<BHBII", 7, 3, 3, 0, 0)
+    reply = bytes(host.batch(1, failed, 2_000_000))
+    assert reply[4] == 69
+    _, _, delay, token = struct.unpack("<BHIQ", reply[4:19])
+    assert token == ASK_AGAIN and delay >= asking.PAUSE * 1e6
+    reply = host.batch(1, struct.pack("<BHQ", 2, 3, token), 2_000_000 + delay)
+    assert reply[4] == 75 and host.asking[3].calls == 2
+    host.batch(1, struct.pack("<BH", 9, 3), 9_000_000)
+    assert not host.asking
