A member that loses answers is an outlier: two bad servers no longer take a tenth of the calls' time

Change: a call that got no answer counts in its member's fail rate, so the draw shuns it, and ejects a member whose rate is beyond the members' own mean by EJECT_RATE and twice it. Where all lose calls nobody is an outlier (a test).

--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -13,6 +13,7 @@
 from harecross.dns.cli import dns_app
 from harecross.doors.cli import door_app
 from harecross.exits import stop
+from harecross.fleet.cli import fleet_app
 from harecross.shifts.cli import shift_app
 from harecross.sources.cli import sources_app
 from harecross.store.cli import store_app
@@ -33,6 +34,7 @@
 app.add_typer(sources_app, name="sources")
 app.add_typer(store_app, name="store")
 app.add_typer(shift_app, name="shift")
+app.add_typer(fleet_app, name="fleet")
 
 Files = Annotated[list[Path], typer.Argument(help="The trace's files, plain, .gz or .zst, in order.")]
 FormatName = Annotated[str | None, typer.Option("--format", help="In place of recognising it.")]
--- a/harecross/policy/health.py
+++ b/harecross/policy/health.py
@@ -69,10 +69,12 @@
         srv.calls += 1
         self.gap += SMOOTH_KIND * (min(now - self.ended_at, FADE) - self.gap)
         self.ended_at = now
-        # Failure prevented: a member that turns every call away holds none of them and wins the draws.
-        bad = 0.0 if ok or outcome == Outcome.TIMEOUT else 1.0
-        srv.fail_rate += max(SMOOTH, 1 / (srv.calls + FAIL_PRIOR)) * (bad - srv.fail_rate)
-        self.fail_rate += SMOOTH_ALL * (bad - self.fail_rate)
+        # Failure prevented: a member that turns every call away holds none of them and wins the draws; one that
+        # loses answers costs each such call its whole time, and looks quick by those that it gives.
+        lost = float(not ok)
+        srv.fail_rate += max(SMOOTH, 1 / (srv.calls + FAIL_PRIOR)) * (lost - srv.fail_rate)
+        self.fail_rate += SMOOTH_ALL * (lost - self.fail_rate)
+        bad = lost and outcome != Outcome.TIMEOUT
         # A reset, a failed connect or an overtaken time-out is a connection's end, and no sign of overload.
         if not (srv.ejected or overtaken or outcome in UNLOADED):
             ctl.lost += SMOOTH_ALL * ((0.0 if ok else 1.0) - ctl.lost)
@@ -94,6 +96,11 @@
                 self.eject(now, srv, silent=False)
         elif srv.trial_out:
             self.eject(now, srv, silent=srv.silent)
+        elif not (ok or srv.ejected) and srv.calls >= EJECT_FAILS:
+            # Where all lose calls it is overload, and nobody is an outlier: members' own rates rise together.
+            usual = sum(m.fail_rate for m in self.members) / max(1, len(self.members))
+            if srv.fail_rate > max(EJECT_RATE + usual, 2 * usual):
+                self.eject(now, srv, silent=False)
         srv.trial_out = False
 
     def failing(self, srv: Server) -> bool:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -469,6 +469,47 @@
     assert served > 195 and node.controller.limit >= limit / 2
 
 
+def losing_answers(
+    share: float, members: tuple[int, ...], seconds: int = 20
+) -> tuple[Balancer, dict[int, int]]:
+    """A copy of ten members; these lose so many of their answers, and answer the others as quickly as all.
+
+    Returns it with the calls that each member got in the last half.
+    """
+    node, rec = balancer(10, instances=4)
+    rng, now, out, got = Random(5), 0, [], dict.fromkeys(range(1, 11), 0)
+    for step in range(seconds * 100):
+        now += 10_000
+        for item in [o for o in out if o[0] <= now]:
+            out.remove(item)
+            _, request, server, took, outcome = item
+            node.outcome(now, request, 0, server, outcome, took, True, ())
+        rec.take()
+        action = ask(node, rec, now, now, 2)
+        if action[0] == "send":
+            server = action[2]
+            got[server] += step >= seconds * 50
+            lost = server in members and rng.random() < share
+            took = 900_000 if lost else 100_000
+            out.append((now + took, now, server, took, Outcome.TIMEOUT if lost else Outcome.OK))
+    return node, got
+
+
+@pytest.mark.parametrize("share", [0.5, 1.0])
+def test_a_member_that_loses_answers_gets_few_calls_though_it_refuses_none(share):
+    """It answers what it answers as quickly as the others, and each call it loses costs its whole time."""
+    node, got = losing_answers(share, (3, 7))
+    even = sum(got.values()) / 10
+    assert max(got[3], got[7]) < 0.3 * even < min(n for server, n in got.items() if server not in (3, 7))
+    assert share < 1 or {srv.id for srv in node.ejected} == {3, 7}
+
+
+@pytest.mark.parametrize("share", [0.2, 0.4, 0.9])
+def test_no_member_is_ejected_for_lost_answers_where_all_lose_them(share):
+    node, got = losing_answers(share, tuple(range(1, 11)))
+    assert sum(srv.ejections for srv in node.servers.values()) <= 1 and min(got.values()) > 0
+
+
 def test_a_member_that_has_just_turned_slow_loses_draws_before_its_calls_return():
     """Its averages still look good: what tells is that its calls have been out for longer than the mean."""
     node, rec = balancer(2)
