--- a/harecross/core/asking.py
+++ b/harecross/core/asking.py
@@ -180,3 +180,18 @@
     def overdue(self, now: float) -> bool:
         """Whether something may count as told that this node has not heard."""
         return now > self.binding_at()
+
+    def figures(self, now: float) -> dict[str, float]:
+        """For the node's line: how old the list's last word is, in seconds, and what getting it took.
+
+        `list_overdue` is 1 while something may count as told that this node has not heard.
+        """
+        age = now - self.heard_at
+        found = {"list_calls": float(self.calls), "list_waited": round(self.waited, 2)}
+        if age < inf:
+            found["list_age"] = round(age, 1)
+        if self.failures:
+            found["list_failures"] = float(self.failures)
+        if self.overdue(now):
+            found["list_overdue"] = 1.0
+        return found
--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -99,8 +99,13 @@
     def start(self) -> None:
         self.balancer.start(clock())
 
-    def report(self, bad: dict[int, int] | None = None, turned_away: int = 0) -> None:
-        """One line on how things stand; `bad` counts what was wrong with callers, by the status they got."""
+    def report(
+        self, bad: dict[int, int] | None = None, turned_away: int = 0, lists: dict[str, float] | None = None
+    ) -> None:
+        """One line on how things stand.
+
+        `bad` counts what was wrong with callers, by the status they got; `lists` are `Asking.figures`.
+        """
         parts: dict[str, float] = {
             **self.answered,
             "open": self.servers.open,
@@ -112,6 +117,7 @@
         parts.update({f"bad_{status or 'silent'}": n for status, n in sorted((bad or {}).items())})
         if turned_away:
             parts["turned_away"] = turned_away
+        parts.update(lists or {})
         say(" ".join(f"{k}={v}" for k, v in parts.items()))
 
     def usual_time(self) -> float:
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from time import monotonic
 from typing import TYPE_CHECKING, Any, Protocol
 
 import uvloop
@@ -154,9 +155,12 @@
         """Whether the list of servers comes from this process's own time."""
         return self.discovery.heard or (self.more_sources is not None and self.more_sources.heard)
 
+    def watches(self) -> bool:
+        """Whether the platform's watch is a source."""
+        return self.more_sources is None or self.more_sources.watches
+
     def watch(self, on: bool) -> None:
-        """The platform's watch, where it is a source."""
-        if self.more_sources is None or self.more_sources.watches or not on:
+        if self.watches() or not on:
             self.discovery.listen(on)
 
     def fetch(self) -> None:
@@ -313,7 +317,7 @@
             await asyncio.sleep(0.01)
         if self.operations is not None:
             self.operations.close()
-        self.host.report(self.callers.bad, self.callers.turned_away)
+        self.report()
 
     def every(self, seconds: float, do: Callable[[], None]) -> None:
         due = self.loop.time() + seconds
@@ -334,11 +338,15 @@
         now = self.loop.time()
         if now >= self.reported + self.report_every:
             self.reported = now
-            self.host.report(self.callers.bad, self.callers.turned_away)
+            self.report()
             if self.lag > LAG_SHOWN:
                 say(f"the event loop was {self.lag * 1000:.0f} ms late")
             self.lag = 0.0
 
+    def report(self) -> None:
+        lists = self.discovery.asking.figures(monotonic()) if self.watches() else {}
+        self.host.report(self.callers.bad, self.callers.turned_away, lists)
+
 
 def read_operators(path: str) -> Operators:
     """The operators' file. Only where it is named is its reader imported."""
