--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,7 +1,7 @@
-"""Who listens again when, by ways to wait and by discovery's load: `python benchmarks/fleet.py [--nodes 40] [--seeds 20]`.
+"""Who listens again when, by ways to wait and by discovery's load: `python benchmarks/fleet.py [--nodes 40]`.
 
-Every watch falls silent at one instant, behind the line of a common start. A row: half, nine in ten and all of the nodes,
-seconds after the trigger, means over seeds; "-" where some seed's nodes were still out after 300 s.
+Every watch falls silent at one instant, behind the line of a common start. A row: half, nine in ten and all of the
+nodes, seconds after the trigger, means over seeds; "-" where some seed's nodes were still out after 300 s.
 """
 
 from __future__ import annotations
--- a/harecross/policy/health.py
+++ b/harecross/policy/health.py
@@ -245,8 +245,9 @@
             rate = self.cold_part * self.asked * 1e6 / span / len(self.members)
         ctl, most = self.controller, self.settings.fall_multiple
         part = min(1.0, COLD_PART * most)
-        if not warm and ctl.late <= LATE_MOST and ctl.lost <= LOST_LATE:
-            part = min(most, max(part, self.cold_part * (1 + min(span / COLD_GROWS, 0.5))))
+        if ctl.late <= LATE_MOST and ctl.lost <= LOST_LATE:
+            # Kept while a member is warm: the next one that is cold again would set all the others back.
+            part = min(most, max(part, self.cold_part * (1 if warm else 1 + min(span / COLD_GROWS, 0.5))))
         self.cold_part = part
         if rate >= 0:
             self.warm_rate += min(1.0, span / 2e6) * (rate - self.warm_rate)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -862,6 +862,24 @@
         assert rolling(seed, late=True)[0] > 0.4, "late answers are no reason to send more"
 
 
+def test_what_cold_members_may_get_is_kept_while_one_is_warm_and_given_up_when_calls_are_lost():
+    """Where servers are replaced all day one is warm now and then; the next cold one began anew at a quarter."""
+    node, _ = balancer([ServerEntry(i, ready_at=1) for i in range(1, 5)])
+    now, parts = 1, []
+    for step in range(40):
+        now += 100_000
+        node.asked = 10
+        node.servers[1].cold_until = 0 if step >= 30 else 10 * SEC
+        for i in (2, 3, 4):
+            node.servers[i].cold_until = 10 * SEC
+        node.each_window(now)
+        parts.append(node.cold_part)
+    assert parts[0] < 1 < parts[15] <= parts[29] and parts[39] == parts[29]
+    node.controller.lost = 0.5
+    node.each_window(now + 100_000)
+    assert node.cold_part == parts[0] < 1
+
+
 def test_when_every_member_is_cold_each_gets_its_part_of_what_is_asked():
     """After a mass restart a copy would refuse all until the warm-up has passed."""
     cold = [ServerEntry(i, ready_at=10 * SEC) for i in range(1, 5)]
