--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -62,6 +62,18 @@
     uvloop.run(limited())
 
 
+async def held_calls() -> tuple[str, asyncio.Queue[asyncio.StreamWriter]]:
+    """A discovery that answers nothing by itself: its address, and its calls as they come."""
+    came: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        came.put_nowait(writer)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return "{}:{}".format(*server.sockets[0].getsockname()), came
+
+
 async def until(true: Callable[[], object]) -> None:
     """Waits for something to become true."""
     while not true():
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -8,7 +8,7 @@
 from random import Random
 
 import pytest
-from node_support import SETTINGS, config_from, config_of, run, until
+from node_support import SETTINGS, config_from, config_of, held_calls, run, until
 from test_adapter import ENV
 
 from harecross.adapter import ASK_AGAIN, Host
@@ -198,14 +198,7 @@
         monkeypatch.setattr(asking, name, value)
 
     async def test() -> None:
-        came: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
-
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            came.put_nowait(writer)
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = "{}:{}".format(*server.sockets[0].getsockname())
+        address, came = await held_calls()
         known = update(41, entry("s1", "127.0.0.1:1"), reset=True)
         asked = {**SETTINGS, "discovery": "ask"}
         node = Node(config_from(config_of(address, known=known, settings=asked)))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,6 +24,7 @@
     World,
     config_of,
     entry,
+    held_calls,
     line,
     run,
     until,
@@ -1258,14 +1259,7 @@
 
     async def test() -> None:
         origin = await Origin().start()
-        came: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
-
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            came.put_nowait(writer)
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = "{}:{}".format(*server.sockets[0].getsockname())
+        address, came = await held_calls()
         known = update(41, entry("s1", origin.address), reset=True)
         node = Node(config_from(config_of(address, known=known)))
         task = asyncio.create_task(node.run())
