--- a/harecross/fleet/cli.py
+++ b/harecross/fleet/cli.py
@@ -41,23 +41,36 @@
     as_json: Annotated[bool, typer.Option("--json", help="To standard output.")] = False,
 ) -> None:
     """Every watch is lost at one instant: who knows the list when, and whether the fleet comes back by itself."""
+    from rich.progress import Progress
+
+    from harecross.console import err
     from harecross.fleet.rehearsal import Rehearsal, bound
     from harecross.fleet.waits import WAITS
 
     if waits not in WAITS:
         stop(f"--waits {waits}: one of {', '.join(WAITS)}")
     told = read(path, nodes, discovery_rate, trigger)
-    results = []
-    for n in range(seeds):
+    results: list[Result] = []
+    stopped = False
+    with Progress(console=err, transient=True, disable=not err.is_terminal) as progress:
+        task = progress.add_task(f"{told.fleet.nodes} nodes", total=seeds)
         try:
-            results.append(Rehearsal(told.day(seed + n), WAITS[waits]).run())
+            for n in range(seeds):
+                results.append(Rehearsal(told.day(seed + n), WAITS[waits]).run())
+                progress.advance(task)
         except ValueError as e:
             stop(f"{path or 'options'}: {e}")
+        except KeyboardInterrupt:
+            stopped = True
+    if not results:
+        stop("interrupted before the first day was over", 130)
     least = bound(results[0].day)
     if as_json:
         print(json.dumps([row(r) for r in results]))
     else:
         show(results, least, waits, plot)
+    if stopped:
+        stop(f"interrupted after {len(results)} of {seeds} days", 130)
     if not all(r.recovered for r in results):
         raise typer.Exit(1)
 
--- a/tests/test_fleet_cli.py
+++ b/tests/test_fleet_cli.py
@@ -12,6 +12,7 @@
 
 from harecross.cli import app
 from harecross.fleet.file import FleetFile, read_fleet
+from harecross.fleet.rehearsal import Rehearsal
 
 ROOT = Path(__file__).parent.parent
 
@@ -40,6 +41,22 @@
     assert all(0 < r["listen_again_s"]["0.5"] <= r["listen_again_s"]["1"] for r in rows)
 
 
+def test_an_interrupt_shows_the_days_played_so_far(monkeypatch):
+    played = []
+
+    def run(self):
+        played.append(self.day.seed)
+        if len(played) == 3:
+            raise KeyboardInterrupt
+        return whole(self)
+
+    whole = Rehearsal.run
+    monkeypatch.setattr(Rehearsal, "run", run)
+    done = call("--nodes", "5", "--seeds", "9", "--no-plot")
+    assert done.exit_code == 130 and "the worst of 2" in done.output
+    assert "interrupted after 2 of 9 days" in done.stderr
+
+
 @pytest.mark.parametrize(
     ("text", "says"),
     [
