--- a/harecross/policy/health.py
+++ b/harecross/policy/health.py
@@ -69,8 +69,8 @@
         srv.calls += 1
         self.gap += SMOOTH_KIND * (min(now - self.ended_at, FADE) - self.gap)
         self.ended_at = now
-        # Failure prevented: a member that turns every call away holds none of them and wins the draws; one that
-        # loses answers costs each such call its whole time, and looks quick by those that it gives.
+        # Failure prevented: a member that turns every call away holds none of them and wins the draws; one
+        # that loses answers costs each such call its whole time, and looks quick by those that it gives.
         lost = float(not ok)
         srv.fail_rate += max(SMOOTH, 1 / (srv.calls + FAIL_PRIOR)) * (lost - srv.fail_rate)
         self.fail_rate += SMOOTH_ALL * (lost - self.fail_rate)
