Read once more: a branch that no good answer reaches does not ask for one

The branch for members that lose answers asked for 'not ok' where good answers had been dealt with above. Behaviour is the same: the digests of actions are unchanged; decide, properties and same-actions tests, lint and types run.

--- a/harecross/policy/health.py
+++ b/harecross/policy/health.py
@@ -96,7 +96,7 @@
                 self.eject(now, srv, silent=False)
         elif srv.trial_out:
             self.eject(now, srv, silent=srv.silent)
-        elif not (ok or srv.ejected) and srv.calls >= EJECT_FAILS:
+        elif not srv.ejected and srv.calls >= EJECT_FAILS:
             # Where all lose calls it is overload, and nobody is an outlier: members' own rates rise together.
             usual = sum(m.fail_rate for m in self.members) / max(1, len(self.members))
             if srv.fail_rate > max(EJECT_RATE + usual, 2 * usual):
