harecross follow: the node beside a server is the one with no more calls open than it has attempts

Nodes see a server under addresses of their own (PROTOCOL: hostPort may differ from one node to the next), and every busy node takes something within any attempt.

Change: the log names servers as discovery does; a server's calls run one after another, so the node beside it never has more calls of a class open than the server has attempts. A line without a server's name, or with a number that is none, is one line and status 2.

--- a/harecross/follow/attempts.py
+++ b/harecross/follow/attempts.py
@@ -9,6 +9,7 @@
 import json
 import sys
 import time
+from collections.abc import Mapping
 from typing import TextIO
 
 from harecross.core.host import Attempt, Request
@@ -21,9 +22,15 @@
 class AttemptLog:
     """Writes the events of one node's requests."""
 
-    def __init__(self, node: str, path: str) -> None:
-        """`path` is a file that is appended to, or `-` for standard error. OSError where it cannot be written."""
+    def __init__(self, node: str, path: str, numbers: Mapping[str, int]) -> None:
+        """`path` is a file that is appended to, or `-` for standard error. OSError where it cannot be written.
+
+        `numbers` gives the module's numbers of servers by discovery's names, which are the same at all nodes; addresses
+        may differ from node to node.
+        """
         self.node = node
+        self.numbers = numbers
+        self.names: dict[int, str] = {}
         self.stream: TextIO = sys.stderr if path == "-" else open(path, "a", encoding="utf-8")  # noqa: SIM115
         self.unflushed = 0
 
@@ -67,10 +74,14 @@
         """The caller has its one answer, or has left."""
         self.write("final", r, answer=how)
 
-    @staticmethod
-    def where(a: Attempt) -> dict[str, object]:
+    def name(self, server: int) -> str:
+        if server not in self.names:
+            self.names = {number: name for name, number in self.numbers.items()}
+        return self.names.get(server, str(server))
+
+    def where(self, a: Attempt) -> dict[str, object]:
         target = a.target or a.host.servers.targets.get(a.server)
-        found: dict[str, object] = {"http.request.resend_count": a.number, "server.id": a.server}
+        found: dict[str, object] = {"http.request.resend_count": a.number, "server.id": self.name(a.server)}
         if target is not None:
             found |= {"server.address": target.host, "server.port": target.port}
         return found
--- a/harecross/follow/reader.py
+++ b/harecross/follow/reader.py
@@ -2,14 +2,14 @@
 
 A tier's calls have ids of their own, which no message ties to the request above them. They are found by place and
 time: what a node beside a server took, of the same class, while that server had an attempt of the request. Which node
-stands beside which server is learned from the logs: the one whose takings lie within that server's attempts.
+stands beside which server is learned from the logs: the one that never has more calls open than the server attempts.
 """
 
 from __future__ import annotations
 
 import json
-from bisect import bisect_left
-from collections import Counter, defaultdict
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -19,8 +19,9 @@
 
 NAMES = ("timeUnixNano", "service.instance.id", "event.name", "request.id")
 SLACK = 500_000_000  # ns: an answer may come so long after its time before it counts as never given (FLEET, "rules")
-SURE = 0.9  # of a server's attempts that must hold a taking of the node beside it
-LEAST = 3  # attempts, to know that
+LEAST = 3  # calls, to know whose they are
+COVERED = 0.8  # of the attempts that a server answered have made a call
+STRANGE = 0.02  # of a node's calls may be none of its server's: clocks differ, ends are missing
 
 
 class BadLog(Exception):
@@ -43,12 +44,7 @@
 
     @property
     def server(self) -> str:
-        port = self.fields.get("server.port")
-        return (
-            f"{self.fields['server.address']}:{port}"
-            if port is not None
-            else str(self.fields.get("server.id", "?"))
-        )
+        return str(self.fields["server.id"])
 
 
 @dataclass(slots=True)
@@ -115,6 +111,39 @@
         return found
 
 
+@dataclass(slots=True)
+class Spans:
+    """Times that something was open from and to."""
+
+    begins: list[int] = field(default_factory=list)
+    ends: list[int] = field(default_factory=list)
+    good: int = 0
+
+    def add(self, begin: int, end: int, good: bool) -> None:
+        self.begins.append(begin)
+        self.ends.append(end)
+        self.good += good
+
+    def open(self, at: int) -> int:
+        """How many are, what begins just then among them."""
+        return bisect_right(self.begins, at) - bisect_left(self.ends, at)
+
+
+def strangers(tries: dict[str, Spans], made: dict[str, Spans]) -> float | None:
+    """The share of a node's calls that a server cannot have made: more were open than it had attempts.
+
+    A server makes its calls one after another. None where the node made too few for what the server answered.
+    """
+    count = sum(len(s.begins) for s in made.values())
+    if count < max(LEAST, COVERED * sum(s.good for s in tries.values())):
+        return None
+    none = Spans()
+    return (
+        sum(s.open(at) > tries.get(klass, none).open(at) for klass, s in made.items() for at in s.begins)
+        / count
+    )
+
+
 NEVER = frozenset(("rejected", "connect_failed", "not_sent"))  # outcomes that prove that it never ran
 
 
@@ -152,30 +181,28 @@
         for held in takings.values():
             held.sort(key=lambda r: r.taken)
         self.takings = dict(takings)
-        spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
-        above: dict[str, set[str]] = defaultdict(
-            set
-        )  # nodes that send to a server stand beside none of its tier
+        spans: dict[str, dict[str, Spans]] = defaultdict(lambda: defaultdict(Spans))  # of servers, by class
+        above: dict[str, set[str]] = defaultdict(set)  # nodes that send to a server: they stand beside others
         for r in self.requests.values():
             for a in r.attempts:
                 above[a.server].add(r.node)
-                if a.written is not None and a.ended is not None and not a.cause:
-                    spans[a.server].append((a.written, a.ended))
+                if a.written is not None:
+                    spans[a.server][r.klass].add(a.written, a.ended or self.end, not a.cause)
+        calls: dict[str, dict[str, Spans]] = defaultdict(lambda: defaultdict(Spans))
+        for r in self.requests.values():
+            calls[r.node][r.klass].add(r.taken, r.answered or self.end, True)
+        for classes in (*spans.values(), *calls.values()):
+            for span in classes.values():
+                span.begins.sort()
+                span.ends.sort()
         for server, tries in spans.items():
-            if len(tries) < LEAST:
-                continue
-            votes: Counter[str] = Counter()
-            for node, takes in self.takings.items():
-                if node in above[server]:
-                    continue
-                times = [r.taken for r in takes]
-                votes[node] = sum(
-                    bisect_left(times, last) > bisect_left(times, first) for first, last in tries
-                )
-            node, count = votes.most_common(1)[0] if votes else ("", 0)
-            others = [n for n, c in votes.items() if c == count and n != node]
-            if count >= SURE * len(tries) and not others:
-                self.beside[server] = node
+            strange = sorted(
+                (part, node)
+                for node, made in calls.items()
+                if node not in above[server] and (part := strangers(tries, made)) is not None
+            )
+            if strange and strange[0][0] <= STRANGE and (len(strange) == 1 or strange[1][0] > 2 * STRANGE):
+                self.beside[server] = strange[0][1]
 
     def below(self, r: Request, a: Attempt) -> tuple[list[Request], bool]:
         """The calls that an attempt may have caused in the tier below, and whether that is sure.
@@ -217,6 +244,10 @@
         try:
             fields = json.loads(line[at + len(MARK) :])
             values = [fields.pop(name) for name in NAMES]
+            if values[2] == "sent":
+                fields["server.id"]
+            for name in ("time_left", "http.request.resend_count"):
+                int(fields.get(name, 0))
             yield Event(int(values[0]), str(values[1]), str(values[2]), str(values[3]), fields)
         except (ValueError, KeyError, TypeError):
             if number == len(lines) and not text.endswith("\n"):
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -126,14 +126,14 @@
         self.room = Room(room)
         self.servers = Servers(config.connect_timeout, config.idle_time, config.columns, self.room)
         self.host = Host(settings, config.seed, self.servers)
+        self.directory = Directory(self.host, self.servers, config.zones, config.kinds)
         if attempts:
             from harecross.follow.attempts import AttemptLog
 
             try:
-                self.host.trace = AttemptLog(config.name, attempts)
+                self.host.trace = AttemptLog(config.name, attempts, self.directory.numbers)
             except OSError as e:
                 raise BadConfig(f"log.attempts {attempts}: {e.strerror}") from None
-        self.directory = Directory(self.host, self.servers, config.zones, config.kinds)
         if more_sources is not None:
             self.more_sources = more_sources(self.directory)
         self.discovery = Discovery(
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -31,7 +31,7 @@
     node: str, request: str, at: float, took: float, server: str, number: int = 0, cause: str = ""
 ) -> str:
     """An attempt: sent, written and ended."""
-    place = {"http__request__resend_count": number, "server__address": server, "server__port": 1}
+    place = {"http__request__resend_count": number, "server__id": server}
     more = {"error__type": cause} if cause else {}
     return (
         line(node, request, at, "sent", **place)
@@ -63,7 +63,7 @@
     path = tmp_path / "n0.log"
 
     async def test(w: World) -> None:
-        w.node.host.trace = AttemptLog("n0", str(path))
+        w.node.host.trace = AttemptLog("n0", str(path), w.node.directory.numbers)
         client = await w.client()
         client.send("/put/1", key="k", body=b"x", X_Request_ID="one")
         (await w.origins[0].arrived.get()).answer(500)
@@ -73,7 +73,11 @@
     with_node(test)
     (r,) = read([path]).requests.values()
     assert [e.what for e in r.events] == ["taken", *["sent", "written", "ended"] * 2, "final"]
-    assert (r.id, r.answer, [a.cause for a in r.attempts]) == ("one", "served", ["error", ""])
+    assert (r.id, r.answer, [(a.server, a.cause) for a in r.attempts]) == (
+        "one",
+        "served",
+        [("s0", "error"), ("s0", "")],
+    )
     assert [e.fields["fresh"] for e in r.events if e.what == "written"] == [True, False]
     shown = run("one", path)
     assert shown.exit_code == 0 and shown.output.count("n0 one") == 8
@@ -87,7 +91,7 @@
         beside += served("n1", f"c{i}", 10.0 * i + 0.3, 0.4, "t1")
         other += served("n2", f"d{i}", 10.0 * i + 5.3, 0.4, "t1")
     paths = logs(tmp_path, a=front, b=beside, c=other)
-    assert read(paths).beside == {"s1:1": "n1", "s2:1": "n2"}
+    assert read(paths).beside == {"s1": "n1", "s2": "n2"}
     out = run("f3", *paths).output
     assert "n1 c3 taken" in out and "d3" not in out and "c2" not in out and "another one" not in out
     assert out.index("f3 written") < out.index("c3 taken") < out.index("f3 ended")
