A node cut off from other zones takes stand-ins in its own, and its limit follows what is left

Cause: Copy.refill fills a subset to 24 whatever zones are cut off, and the limit stays that of all 24 members.

Change: a subset that has lost more than EJECT_SHARE of its members to cut zones is filled up with stand-ins from the others, which leave when the way is open again; limit and usual calls follow the part of the subset that is left, beyond the share that may be ejected anyway. No constant is new or changed.

--- a/harecross/policy/controller.py
+++ b/harecross/policy/controller.py
@@ -59,6 +59,7 @@
         self.counted_at = now
         self.pass_limit = self.start_limit = float(MIN_LIMIT)
         self.ceiling = ceiling
+        self.reached = 1.0  # part of the subset that the limit is for
         self.limit = 0.0
         self.in_flight = 0
         self.flight_sum = 0
@@ -95,6 +96,12 @@
         start = max(2 * self.pass_limit, self.start_limit)
         self.limit = max(self.limit, start if self.passes == 0 else self.floor)
 
+    def reach(self, part: float) -> None:
+        """The limit is for so much of the subset now: what was right for all of it buries the few left."""
+        self.limit *= part / self.reached
+        self.usual *= part / self.reached
+        self.reached = part
+
     def headroom(self) -> float:
         """The square root of the limit, and no more than a part of it."""
         return min(sqrt(self.limit), HEADROOM_MOST * self.limit)
--- a/harecross/policy/health.py
+++ b/harecross/policy/health.py
@@ -7,7 +7,7 @@
 from harecross.interface import Outcome
 from harecross.policy.controller import LATE_MOST, LOST_LATE, PASS_JITTER
 from harecross.policy.members import FADE, Server
-from harecross.policy.state import Copy, Request
+from harecross.policy.state import EJECT_SHARE, Copy, Request
 
 SMOOTH = 0.1  # weight of the newest sample in a server's averages
 SMOOTH_REPORT = 0.5  # weight of the newest load report: a report is an average already
@@ -17,7 +17,6 @@
 SMOOTH_KIND = 0.05  # the same for the averages of a kind of machine, once it has answered a few calls
 FASTEST, SLOWEST = 0.25, 8.0  # one round-trip counts between these multiples of the mean
 SMOOTH_ALL = 0.02  # the same for averages over the whole subset
-EJECT_SHARE = 0.34  # of the members, at most
 EJECT_FAILS = 3  # least failures in a row, or of recent calls, before ejection
 EJECT_RATE = 0.3  # failure rate above the subset's own that ejects
 EJECT_TIME = 2_000_000  # first ejection; doubles up to 16 times
@@ -210,7 +209,7 @@
                 zone.cut = False
                 self.cut.remove(zone)
                 self.actions.log(f"restore zone={zone.id}")
-                self.sort_members()
+                self.refill(now)
             return
         if srv.id != zone.last_bad:
             zone.unanswered += 1
@@ -226,7 +225,7 @@
             zone.trial_at = now + EJECT_TIME
             self.cut.append(zone)
             self.actions.log(f"cut zone={zone.id}")
-            self.sort_members()
+            self.refill(now)
 
     def each_window(self, now: int) -> None:
         """Slow bookkeeping, at most once a window: warm rate, class ranks, spill between zones."""
--- a/harecross/policy/state.py
+++ b/harecross/policy/state.py
@@ -14,6 +14,7 @@
 
 SUBSET_MIN, SUBSET_MAX = 10, 24  # members of the subset...
 SUBSET_COVER = 16  # ...in between, as many as put each server into so many copies' subsets
+EJECT_SHARE = 0.34  # of the members, at most
 TRY_ABOVE = 2  # further deviations for each tier below, which is to cut off first
 ZONE_PRICE = 0.01  # calls keep to their zone only where a crossing costs this share of a request's worth
 KINDS_MOST = 64  # kinds of machine remembered while no server of theirs is listed
@@ -54,6 +55,8 @@
         self.zones: dict[int, Zone] = {}
         self.cut: list[Zone] = []
         self.members: list[Server] = []
+        self.wanted = 0  # of them, in zones that are not cut off
+        self.stand_ins: list[Server] = []  # members while too many others are in zones that are
         self.near: list[Server] = []  # members in this zone that may be drawn
         self.able: list[Server] = []  # all members that may be drawn
         self.ejected: list[Server] = []
@@ -109,19 +112,36 @@
     def refill(self, now: int) -> None:
         """Members that left are replaced by random others, up to the subset's bound."""
         self.members = [m for m in self.members if m.member]
+        self.stand_ins = [m for m in self.stand_ins if m.member]
         listed = sum(srv.in_list for srv in self.servers.values())
         # Failure prevented: a copy with a call a second knows none of many members and keeps no connection
         # to them. Where copies are many, few members each still spread the load over all servers.
         wanted = ceil(SUBSET_COVER * listed / self.settings.instances)
         wanted = self.settings.subset_most or min(SUBSET_MAX, max(SUBSET_MIN, wanted))
-        if len(self.members) < wanted:
+        self.wanted = min(wanted, listed)
+        # Failure prevented: a node in a zone that is cut off from the others has one or two members left of
+        # its subset, and buries them under all its calls while the zone's other servers are idle.
+        away = sum(self.zones[m.zone].cut for m in self.members)
+        whole = away <= EJECT_SHARE * (len(self.members) - len(self.stand_ins))
+        have = len(self.members) - (0 if whole else away)
+        if have < wanted:
             pool = [srv for _, srv in sorted(self.servers.items()) if srv.in_list and not srv.member]
-            while pool and len(self.members) < wanted:
+            if not whole:
+                pool = [srv for srv in pool if not self.zones[srv.zone].cut]
+            while pool and have < wanted:
                 i = int(self.rng.random() * len(pool))
                 pool[i], pool[-1] = pool[-1], pool[i]
                 srv = pool.pop()
                 srv.member = True
                 self.members.append(srv)
+                have += 1
+                if not whole:
+                    self.stand_ins.append(srv)
+        if whole and self.stand_ins:
+            for srv in self.stand_ins:
+                srv.member = srv.member and srv.ejected
+            self.stand_ins.clear()
+            self.members = [m for m in self.members if m.member]
         self.controller.resize(len(self.members), listed, self.settings.instances)
         if self.zoned and self.members:
             # Failure prevented: a zone with few servers takes all calls of the one node beside it. At least
@@ -141,5 +161,6 @@
                 # Failure prevented: calls stuck on a silent member fill the limit for all the others.
                 self.controller.in_flight += -m.in_flight if aside else m.in_flight
                 m.aside = aside
+        self.controller.reach(min(1.0, max(1, len(self.able)) / max(1.0, self.wanted * (1 - EJECT_SHARE))))
         self.near = [m for m in self.able if m.zone == self.settings.zone]
         self.uneven = len({m.weight for m in self.able}) > 1
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -627,6 +627,50 @@
     assert node.cut == [] and node.controller.in_flight == 0
 
 
+def alone_in_its_zone():
+    """A node of zone 0, with 60 servers in five zones, that the others are cut off from."""
+    node, rec = balancer([ServerEntry(i + 1, zone=i % 5) for i in range(60)], instances=60)
+    before = node.controller.limit, set(node.members)
+    parted(node, rec, 0, 1, 200)
+    assert sorted(zone.id for zone in node.cut) == [1, 2, 3, 4]
+    return node, rec, before
+
+
+def test_a_node_cut_off_from_other_zones_spreads_its_calls_over_its_own():
+    """With a random subset it had one or two servers left there, and buried them; the zone's others were idle."""
+    node, rec, (limit, first) = alone_in_its_zone()
+    assert len([m for m in first if m.zone == 0]) < 6
+    assert len(node.able) == 12 and node.able == [m for m in node.members if m.zone == 0]
+    # Back again the subset is what it was, and keeps no connection more.
+    for i in range(1000, 1400):
+        now = i * 100_000
+        (action,) = [ask(node, rec, now, i)]
+        if action[0] == "send":
+            end(node, rec, now + 50_000, i, 0, action[2], Outcome.OK, 50_000)
+    assert node.cut == [] and set(node.members) == first and not node.stand_ins
+
+
+def test_the_limit_follows_what_is_left_of_the_subset():
+    """One or two servers got the calls that were right for twenty-four."""
+    node, _ = balancer([ServerEntry(i + 1, zone=int(i > 1)) for i in range(24)], instances=24)
+    node.controller.limit, node.controller.usual = 96.0, 80.0
+    node.zones[1].cut = True
+    node.refill(0)
+    assert len(node.able) == 2
+    assert node.controller.limit == pytest.approx(96 * 2 / 16 / 0.66) and node.controller.usual < 16
+    node.zones[1].cut = False
+    node.refill(0)
+    assert (node.controller.limit, node.controller.usual) == (pytest.approx(96.0), pytest.approx(80.0))
+
+
+def test_a_few_ejected_members_leave_the_limit_as_it_is():
+    node, _ = balancer(12)
+    limit = node.controller.limit
+    for m in node.members[:4]:
+        node.eject(0, m, silent=False)
+    assert len(node.able) == 8 and node.controller.limit == limit
+
+
 def test_a_slow_member_is_drawn_less_often():
     """Equal calls in flight hide a slow machine where a copy has hardly any in flight."""
     node, rec = balancer(4)
