--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -51,7 +51,7 @@
     ("text", "says"),
     [
         ("[log]\nreport_every_s = 0\n", "`$.log.report_every_s`"),
-        ("[log]\nreport = 1\n", "(allowed: report_every_s)"),
+        ("[log]\nreport = 1\n", "(allowed: attempts, report_every_s)"),
         ("[lag]\n", "(allowed: listen, log, sources, xds)"),
         ("[listen]\nbacklog = 'many'\n", "`$.listen.backlog`"),
         ("[log\n", "not TOML"),
