Read once more: follow takes logs that begin in the middle; less said twice

The finding of an attempt by its number stood twice; the attempt log was told what the request knows; a stopping node closed idle connections twice, though none can rest once it is leaving; the pool of stand-ins was filtered twice.

Behaviour is otherwise as it was: the digests of actions hold. Tests run: follow (the new one fails on the code before), node, operations, decisions, actions, properties, memory; lint and types.

--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -47,7 +47,7 @@
 class Trace(Protocol):
     """Told of what becomes of each request (`follow.attempts.AttemptLog`)."""
 
-    def taken(self, r: Request, name: str, until: int, now: int) -> None: ...
+    def taken(self, r: Request, now: int) -> None: ...
 
     def sent(self, a: Attempt) -> None: ...
 
@@ -164,7 +164,7 @@
         until = self.answer_by(message, message.came)
         r = Request(self.last_id, caller, message, until)
         if self.trace is not None:
-            self.trace.taken(r, str(message.klass), until, now)
+            self.trace.taken(r, now)
         if until <= now or len(self.requests) >= self.settings.max_open:
             self.finish(r, "refused")
             return r
--- a/harecross/follow/attempts.py
+++ b/harecross/follow/attempts.py
@@ -53,9 +53,10 @@
 
     # ---- events -----------------------------------------------------------------------------------------
 
-    def taken(self, r: Request, name: str, until: int, now: int) -> None:
-        """A request has come; it is to be answered within `time_left` microseconds."""
-        self.write("taken", r, **{"request.class": name, "time_left": until - now, "url.path": self.path(r)})
+    def taken(self, r: Request, now: int) -> None:
+        """A request has come; it is to be answered within `time_left` microseconds. Classes go by their numbers."""
+        more = {"request.class": str(r.message.klass), "time_left": r.until - now, "url.path": self.path(r)}
+        self.write("taken", r, **more)
 
     def sent(self, a: Attempt) -> None:
         """The module has chosen a server for an attempt."""
--- a/harecross/follow/cli.py
+++ b/harecross/follow/cli.py
@@ -51,7 +51,7 @@
         first = logs.find(words[0])
     except KeyError:
         stop(f"follow: no request {words[0]} in {len(paths)} logs")
-    show(logs, first, first.taken, 0)
+    show(logs, first, first.events[0].at, 0)
 
 
 def effect_of(text: str) -> tuple[str, str]:
@@ -68,11 +68,11 @@
         more = " ".join(f"{k}={v}" for k, v in e.fields.items())
         typer.echo(f"{(e.at - start) / 1e9:9.4f} {pad}{r.node} {r.id} {e.what} {more}".rstrip())
         if e.what == "written" and depth < DEPTH:
-            attempt = next(a for a in r.attempts if a.number == e.attempt)
-            calls, sure = logs.below(r, attempt)
+            attempt = r.attempt(e.attempt)
+            calls, sure = logs.below(r, attempt) if attempt is not None else ([], True)
             for call in calls:
                 if not sure:
-                    typer.echo(f"          {pad}    (of this attempt or of another one at {attempt.server}:)")
+                    typer.echo(f"          {pad}    (of this attempt or of another one there at the time:)")
                 show(logs, call, start, depth + 1)
     if not r.answer:
         typer.echo(f"          {pad}{r.node} {r.id} no final answer in these logs")
--- a/harecross/follow/reader.py
+++ b/harecross/follow/reader.py
@@ -85,12 +85,16 @@
             # A second final answer would be a fault of the node's own; `wrong` tells by the events.
             self.answer, self.answered = str(e.fields.get("answer", "")), self.answered or e.at
         else:
-            a = next((a for a in self.attempts if a.number == e.attempt), None)
+            a = self.attempt(e.attempt)
             if a is not None and e.what == "written":
                 a.written = e.at
             elif a is not None and e.what == "ended":
                 a.ended, a.cause = e.at, str(e.fields.get("error.type", ""))
 
+    def attempt(self, number: int) -> Attempt | None:
+        """None for one whose `sent` is not in the logs: they may begin in the middle."""
+        return next((a for a in self.attempts if a.number == number), None)
+
     def wrong(self, end: int, effects: dict[str, str]) -> list[str]:
         """What is wrong with how it went; `end` is the log's last time, `effects` the classes' effects by name.
 
@@ -100,7 +104,9 @@
         finals = sum(e.what == "final" for e in self.events)
         if finals > 1:
             found.append(f"{finals} final answers")
-        if self.answered is None and end > self.until + SLACK:
+        if not self.taken:
+            pass  # the logs begin in the middle of it: its time is not known
+        elif self.answered is None and end > self.until + SLACK:
             found.append("no final answer")
         elif self.answered is not None and self.answer != "left" and self.answered > self.until + SLACK:
             found.append(f"answered {(self.answered - self.until) / 1e9:.2f} s after its time")
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -308,7 +308,6 @@
             self.callers.leaving = True
             self.callers.close_idle()
             await asyncio.sleep(max(0.0, began + times.close - self.loop.time()))
-            self.callers.close_idle()
             await self.callers.close()
         if self.callers.open:
             await asyncio.sleep(LAST_REQUESTS)
@@ -378,8 +377,11 @@
     if not path:
         return {}
     told = read_operators(path)
-    found: dict[str, Any] = {"report_every": told.log.report_every_s, "backlog": told.listen.backlog}
-    found["attempts"] = told.log.attempts
+    found: dict[str, Any] = {
+        "report_every": told.log.report_every_s,
+        "attempts": told.log.attempts,
+        "backlog": told.listen.backlog,
+    }
     if told.xds.listen:
         try:
             from harecross.xds.config import listen_address
--- a/harecross/policy/state.py
+++ b/harecross/policy/state.py
@@ -125,9 +125,8 @@
         whole = away <= EJECT_SHARE * (len(self.members) - len(self.stand_ins))
         have = len(self.members) - (0 if whole else away)
         if have < wanted:
-            pool = [srv for _, srv in sorted(self.servers.items()) if srv.in_list and not srv.member]
-            if not whole:
-                pool = [srv for srv in pool if not self.zones[srv.zone].cut]
+            free = [srv for _, srv in sorted(self.servers.items()) if srv.in_list and not srv.member]
+            pool = [srv for srv in free if whole or not self.zones[srv.zone].cut]
             while pool and have < wanted:
                 i = int(self.rng.random() * len(pool))
                 pool[i], pool[-1] = pool[-1], pool[i]
@@ -139,7 +138,7 @@
                     self.stand_ins.append(srv)
         if whole and self.stand_ins:
             for srv in self.stand_ins:
-                srv.member = srv.member and srv.ejected
+                srv.member = srv.ejected
             self.stand_ins.clear()
             self.members = [m for m in self.members if m.member]
         self.controller.resize(len(self.members), listed, self.settings.instances)
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -145,6 +145,14 @@
     assert len(result.stderr.splitlines()) == 1 and said in result.stderr
 
 
+def test_a_log_that_begins_in_the_middle_of_a_request_is_read(tmp_path):
+    whole = served("n", "r", 1.0, 9.0, "s").splitlines(keepends=True)
+    paths = logs(tmp_path, n="".join(whole[2:]) + served("n", "other", 20.0, 1.0, "s"))
+    shown = run("r", *paths)
+    assert shown.exit_code == 0 and shown.output.splitlines()[0].startswith("   0.0000 n r written")
+    assert run("--ended-badly", *paths).output == "0 of 2 requests ended badly\n"
+
+
 def test_a_missing_file_is_one_line_and_a_torn_last_line_is_passed_over(tmp_path):
     assert run("r", tmp_path / "none").exit_code == 2
     assert run("r").exit_code == 2
