--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -265,9 +265,9 @@
     files: Files,
     speed: Annotated[float, typer.Option(help="Times the trace's own rate.")] = 1.0,
     servers: Annotated[
-        int | None, typer.Option(min=1, max=512, help="Stand-in servers; sized from the trace.")
+        int | None, typer.Option(min=1, max=10_000, help="Stand-in servers; sized from the trace.")
     ] = None,
-    nodes: Annotated[int, typer.Option(min=1, max=32, help="Real nodes before them.")] = 2,
+    nodes: Annotated[int, typer.Option(min=1, max=1024, help="Real nodes before them.")] = 2,
     start: Annotated[
         float, typer.Option("--from", help="Seconds of the trace after its first request.")
     ] = 0.0,
--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -15,6 +15,7 @@
 from harecross.core.asking import Asking, End, Terms
 from harecross.core.host import Host, guard, say
 from harecross.core.servers import Servers, clock
+from harecross.core.versions import Verdict, judge
 from harecross.interface import ListKind, ServerEntry, State
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
@@ -229,8 +230,10 @@
 class Stream(asyncio.Protocol):
     """One call to discovery: a whole list, or a watch that lasts until its connection ends."""
 
-    def __init__(self, watch: Watch, path: bytes, asking: Asking) -> None:
+    def __init__(self, watch: Watch, path: bytes, asking: Asking, own: bool) -> None:
+        """`own`: it is the watch's own call, none beside it."""
         self.watch = watch
+        self.first = own  # the next list or change is the first word of the watch's own call
         self.asking = asking
         self.path = path
         self.transport: asyncio.Transport | None = None
@@ -286,8 +289,9 @@
         if not line:
             self.watch.unchanged()
             return
+        first, self.first = self.first, False
         try:
-            self.watch.told(json.loads(line))
+            self.watch.told(json.loads(line), first)
         except (ValueError, RecursionError) as e:
             # Guards against: a change that could not be read is missed for good. The next watch starts
             # after the last one that could.
@@ -322,12 +326,24 @@
         self.asking.stop()
         self.task.cancel()
 
-    def told(self, update: Any) -> None:
-        """One line of this watch; nothing counts that comes after the watch has been given up."""
+    def told(self, update: Any, first: bool) -> None:
+        """One line of this watch; nothing counts that comes after the watch has been given up.
+
+        `first`: it is the first word of its present call. ValueError for what cannot be used.
+        """
         if self.closed:
             return
+        generation = update.get("generation") if isinstance(update, dict) else None
+        if isinstance(generation, int):
+            verdict = judge(self.generation, generation, bool(update.get("reset")), first)
+            if verdict is not Verdict.NEWER:
+                say(f"discovery: version {generation} after {self.generation}: {verdict.value}")
+            if verdict is Verdict.OLDER:
+                return
+            if verdict is Verdict.UNUSABLE:
+                self.generation = None
+                raise ValueError("a change of a version never seen")
         self.discovery.lists.apply(update, full=self.generation is None)
-        generation = update.get("generation")
         if isinstance(generation, int):
             self.generation = generation
         elif self.generation is None:
@@ -347,7 +363,7 @@
             if had is not None:
                 path += b"?watch=1&after=%d" % had
             self.asking.calling(time.monotonic())
-            end = await self.call(path, self.asking)
+            end = await self.call(path, self.asking, own=True)
             if had is None and self.generation is not None and end is End.ENDED:
                 self.asking.begin(time.monotonic())  # the whole list is here: its watch follows
                 continue
@@ -355,9 +371,9 @@
             if self.discovery.asked and self.discovery.current is self:
                 self.discovery.failed()
 
-    async def call(self, path: bytes, asking: Asking) -> End:
-        """One call from connect to end, and how it ended."""
-        stream = Stream(self, path, asking)
+    async def call(self, path: bytes, asking: Asking, own: bool) -> End:
+        """One call from connect to end, and how it ended; `own` for that of the watch, not one beside it."""
+        stream = Stream(self, path, asking, own)
         end: End | None = None
         try:
             async with asyncio.timeout(CONNECT):
@@ -470,7 +486,7 @@
             return self.failed()
         once = Asking(self.terms, self.rng)  # what the call brings is no word of the watch that is open
         once.calling(time.monotonic())
-        if await watch.call(b"/catalog/members", once) is not End.ENDED:
+        if await watch.call(b"/catalog/members", once, own=False) is not End.ENDED:
             self.failed()
 
     def failed(self) -> None:
--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -6,7 +6,7 @@
 import sys
 import traceback
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from time import monotonic
 from typing import Protocol
 
@@ -132,13 +132,13 @@
         self,
         bad: dict[int, int] | None = None,
         turned_away: int = 0,
-        lists: Mapping[str, float | str] | None = None,
+        lists: dict[str, float] | None = None,
     ) -> None:
         """One line on how things stand.
 
         `bad` counts what was wrong with callers, by the status they got; `lists` says how old the list is.
         """
-        parts: dict[str, float | str] = {
+        parts: dict[str, float] = {
             **self.answered,
             "open": self.servers.open,
             "reports": self.servers.reports,
--- a/harecross/core/standing.py
+++ b/harecross/core/standing.py
@@ -14,13 +14,14 @@
 
 from enum import Enum
 
-from harecross.core.asking import BEAT, BINDING, PAUSE, QUEUE, ROUND, Asking, Terms
+from harecross.core.asking import BEAT, BINDING, QUEUE, Asking, Terms
 
 # Where lists are pushed the agent answers at once or discovery is down; after so long all that was listed before the
 # start counts as told, and more waiting tells nothing.
 PUSHED_MOST = BINDING
-# Where they are asked for: a first call that discovery fails, the pause, the last place of a round, and its answer.
-ASKED_MOST = QUEUE + PAUSE + ROUND + QUEUE
+# Where they are asked for: clients come to a fleet that starts after 30 s, ready or not (DEPLOY, "Limits"),
+# and a call that goes out late may still be answered by then: two failed calls, their pauses and rounds fit in.
+ASKED_MOST = 30.0 - QUEUE
 BESIDE_MOST = 1.0  # where another process serves on as this node meanwhile, and is to be replaced in time
 
 
--- a/harecross/fleet/cli.py
+++ b/harecross/fleet/cli.py
@@ -109,7 +109,8 @@
     return {
         "seed": r.day.seed, "nodes": r.day.nodes, "bound_s": round(bound(r.day), 3), "listen_again_s": known,
         "calls": sum(r.calls.values()), "worked_in_vain": r.in_vain, "turned_away": r.turned_away,
-        "drains_late": r.late, "recovered": r.recovered,
+        "drains_late": r.late, "recovered": r.recovered, "may_send_late_s": round(r.forbidden, 3),
+        "start_to_ready_s": {f"{part:g}": round(r.after_start(part), 3) for part in PARTS} if r.ready else None,
     }  # fmt: skip
 
 
@@ -131,6 +132,14 @@
             *(f"{n:,}" for n in (sum(r.calls.values()), r.in_vain, r.turned_away, r.late)),
         )  # fmt: skip
     out.print(t)
+    if first.ready:
+        worst, late = max(r.ready[-1] for r in results), sum(r.forbidden for r in results)
+        half = max(r.after_start(0.5) for r in results)
+        out.print(
+            f"from a start to the first send: half of the nodes {half:.1f} s, all {worst:.1f} s; they might send by a "
+            f"list that was binding-old for {late:.1f} s, all together",
+            highlight=False, style="red" if late else "",
+        )  # fmt: skip
     worst = max(r.back[-1] for r in results)
     text = f"by arithmetic all can be answered after {least:.1f} s; the worst of {len(results)}: {seconds(worst)}"
     out.print(text, highlight=False)
--- a/harecross/fleet/file.py
+++ b/harecross/fleet/file.py
@@ -30,6 +30,7 @@
     overbook: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 3.0  # time-outs of work that may stand in line
     backlog_s: Seconds = 0.0  # work that stands in line when the trigger comes
     spoilt: Annotated[float, msgspec.Meta(ge=0, lt=1)] = 0.0  # share of answers that break off
+    pushed: bool = False  # an agent on each node's machine has the list, and answers at once
 
 
 class Trigger(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -39,6 +40,11 @@
     down_s: Seconds = 5.0
     drain_s: Seconds = 0.5  # a drain is listed so long after it...
     again_s: Seconds = 0.0  # ...and again this far apart, where it is above 0
+    part: Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0  # restart: the share of nodes that start again...
+    dead_s: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.0  # ...and for how long they had been dead
+    before_s: Annotated[float, msgspec.Meta(ge=0, le=10)] = (
+        0.0  # a drain is listed so long before it too; 0: none
+    )
     length_s: Above = 120.0  # the day's, from its start; the trigger comes at 10 s
 
 
@@ -56,7 +62,7 @@
             raise ValueError("trigger.length_s: above 10 s and trigger.drain_s together")
         return Day(
             f.nodes, seed, Shape(d.rate, d.timeout_s, d.overbook), f.within_s, t.what, 10.0, d.backlog_s, t.down_s,
-            d.spoilt, t.drain_s, t.again_s, t.length_s,
+            d.spoilt, t.drain_s, t.again_s, t.part, t.dead_s, t.before_s, d.pushed, t.length_s,
         )  # fmt: skip
 
 
--- a/harecross/fleet/rehearsal.py
+++ b/harecross/fleet/rehearsal.py
@@ -1,8 +1,9 @@
 """A rehearsal: nodes that listen, one discovery, a trigger, and who knew what when. One seed, the same day every time.
 
-At the trigger every watch falls silent, breaks or ends (or every node restarts); discovery may be down for a while.
-Changes are listed at stated times, and reach the nodes whose watch is open. A drain that a node has not heard of
-when it becomes binding is counted, were the node to go on sending (PROTOCOL, "Figures").
+At the trigger every watch falls silent, breaks or ends, or nodes that were killed start again by the list they last
+had; discovery may be down for a while. Changes are listed at stated times, and reach the nodes whose watch is open.
+A drain that a node has not heard of when it becomes binding is counted (PROTOCOL, "Figures"), and so is the time
+for which a node may send all the same.
 """
 
 from __future__ import annotations
@@ -15,9 +16,14 @@
 from random import Random
 
 from harecross.core.asking import BEAT, BINDING, Asking, End, State, Terms
-from harecross.fleet.discovery import Desk, Shape
+from harecross.core.standing import Standing, longest_wait
+from harecross.fleet.discovery import Desk, Reply, Shape
 
 TRIGGERS = ("silent", "ended", "broken", "restart", "down")
+GRACE = (
+    0.3  # after a change is binding, within which sends cease: the settings' 250 ms and the sockets' slack
+)
+BOOT = 0.3  # from a process's start to its first call
 Build = Callable[[Terms, Random], Asking]
 
 
@@ -36,6 +42,10 @@
     spoilt: float = 0.0  # share of answers that break off or cannot be read
     change: float = 0.5  # a drain is listed so long after the trigger...
     more: float = 0.0  # ...and again this far apart, where it is above 0
+    part: float = 1.0  # trigger "restart": the share of nodes that start again
+    dead: float = 0.0  # and for how long they had been dead then
+    before: float = 0.0  # a drain is listed so long before the trigger too, where it is above 0
+    pushed: bool = False  # an agent on each node's machine has the list, and answers at once
     length: float = 120.0
 
     def __post_init__(self) -> None:
@@ -48,7 +58,11 @@
         for key in ("within", "length"):
             if getattr(self, key) <= 0:
                 raise ValueError(f"{key}: above 0")
-        for key in ("at", "backlog", "down", "change", "more"):
+        if not 0 < self.part <= 1:
+            raise ValueError("part: above 0, and 1 at most")
+        if self.before > self.at or self.dead > self.at:
+            raise ValueError("before, dead: no longer than `at`")
+        for key in ("at", "backlog", "down", "change", "more", "dead", "before"):
             if getattr(self, key) < 0:
                 raise ValueError(f"{key}: 0 or more")
 
@@ -64,6 +78,9 @@
     answered: Counter[int] = field(default_factory=Counter)
     line: dict[int, float] = field(default_factory=dict)  # seconds of work in line, by second
     late: int = 0  # drains that were binding at a node before it knew, all nodes and drains together
+    forbidden: float = 0.0  # seconds for which nodes might send by a list that was binding-old, all together
+    waited: float = 0.0  # seconds for which nodes that had started sent nothing, all together
+    ready: list[float] = field(default_factory=list)  # how long after its start each might send, in order
     in_vain: int = 0
     turned_away: int = 0
 
@@ -71,6 +88,10 @@
         """When that part of the nodes listened again."""
         return self.back[ceil(part * len(self.back)) - 1]
 
+    def after_start(self, part: float) -> float:
+        """How long after its start that part of the nodes that started might send."""
+        return self.ready[ceil(part * len(self.ready)) - 1]
+
     @property
     def recovered(self) -> bool:
         """Whether every node listened again by the end."""
@@ -86,12 +107,28 @@
     return known + max(0.0, day.backlog - known) + day.nodes / day.discovery.rate
 
 
+def merged(spans: list[tuple[float, float]]) -> list[tuple[float, float]]:
+    """The same times, none of them twice."""
+    found: list[tuple[float, float]] = []
+    for begin, end in sorted(spans):
+        if found and begin <= found[-1][1]:
+            found[-1] = (found[-1][0], max(found[-1][1], end))
+        else:
+            found.append((begin, end))
+    return found
+
+
 class Node:
     """One node of the rehearsal."""
 
-    __slots__ = ("asking", "version", "turn", "back")
+    __slots__ = ("asking", "version", "turn", "back", "standing", "dead", "began", "opened", "learned")
 
     def __init__(self, asking: Asking) -> None:
+        self.standing: Standing | None = None  # of a process that began within the day
+        self.dead = False
+        self.began = -inf
+        self.opened = -inf  # when it might send
+        self.learned: list[float] = []  # by change: when it knew of it
         self.asking = asking
         self.version = 0  # changes that it knows
         self.turn = 0  # of its events: what was planned before the last change of state is void
@@ -127,6 +164,10 @@
             node.asking.calling(0.0)
             node.asking.word(day.at)
             node.asking.good()
+        if day.trigger == "restart" and day.dead > 0:
+            self.later(day.at - day.dead, self.kill)
+        if day.before > 0:
+            self.later(day.at - day.before, self.change)
         self.later(day.at, self.trigger)
         at = day.at + day.change
         while at < day.length:
@@ -140,6 +181,13 @@
     def close(self) -> Result:
         r, day = self.result, self.day
         r.back = sorted(node.back - day.at for node in self.nodes)
+        for node in self.nodes:
+            if node.standing is not None:
+                opened = min(node.opened, max(node.standing.until, node.began))
+                r.ready.append(opened - node.began)
+                r.waited += min(opened, day.length) - node.began
+                r.forbidden += self.sent_late(node, opened)
+        r.ready.sort()
         for at, knew in zip(self.listed, self.knew, strict=True):
             took = sorted(t - at for t in knew) + [inf] * (len(self.nodes) - len(knew))
             if not r.knew:
@@ -149,17 +197,45 @@
         r.in_vain, r.turned_away = self.desk.in_vain, self.desk.turned_away
         return r
 
+    def sent_late(self, node: Node, opened: float) -> float:
+        """For how long a process might send that had not heard of a change which was binding.
+
+        What an agent has counts as told from the process's first moment on, what is listed 6 s later.
+        """
+        late: list[tuple[float, float]] = []
+        for version, at in enumerate(self.listed):
+            told = max(at, node.began) if self.day.pushed else max(at + BINDING, node.began)
+            knew = node.learned[version] if version < len(node.learned) else inf
+            begin, end = max(told + GRACE, opened), min(knew, self.day.length)
+            if begin < end:
+                late.append((begin, end))
+        return sum(end - begin for begin, end in merged(late))
+
     # ---- events -------------------------------------------------------------------------------------------
 
+    def hit(self) -> list[Node]:
+        """The nodes that restart: a front's part of the fleet, the same all day."""
+        return self.nodes[: ceil(self.day.part * len(self.nodes))]
+
+    def kill(self, now: float) -> None:
+        for node in self.hit():
+            node.turn += 1
+            node.dead = True
+
     def trigger(self, now: float) -> None:
         day = self.day
         self.desk.free_at = now + day.backlog
         end = {"silent": End.SILENT, "broken": End.BROKEN}.get(day.trigger, End.ENDED)
-        for node in self.nodes:
+        hit = self.hit() if day.trigger == "restart" else self.nodes
+        for node in self.nodes[len(hit) :]:
+            node.back = now  # its watch was never lost
+        for node in hit:
             node.turn += 1
             if day.trigger == "restart":
                 node.asking = type(node.asking)(node.asking.terms, Random(self.rng.getrandbits(64)))
-                node.asking.begin(now)
+                node.asking.begin(now + BOOT)
+                node.standing = Standing(now, longest_wait(node.asking.terms))
+                node.dead, node.began, node.opened = False, now, inf
                 self.plan(node)
             elif end is End.SILENT:
                 # The last word came up to a beat ago; all heard it at once, as the beats of one service come.
@@ -172,12 +248,14 @@
         self.listed.append(now)
         self.knew.append([])
         for node in self.nodes:
-            if node.asking.state is State.SUBSCRIBED and node.back < inf:
+            listens = now < self.day.at or node.back < inf
+            if node.asking.state is State.SUBSCRIBED and listens and not node.dead:
                 self.learn(node, now)
 
     def learn(self, node: Node, now: float) -> None:
         for version in range(node.version, self.version):
             self.knew[version].append(now)
+            node.learned.append(now)
         node.version = self.version
 
     def ends(self, node: Node, end: End) -> Callable[[float], None]:
@@ -207,7 +285,7 @@
         if day.trigger == "down" and now < day.at + day.down:
             self.ends(node, End.FAILED)(now)
             return
-        reply = self.desk.call(now)
+        reply = Reply(now, True) if day.pushed else self.desk.call(now)
         r.line[int(now - day.at)] = self.desk.backlog(now)
         if not reply.good:
             self.later(reply.at, self.ends(node, End.FAILED))
@@ -225,6 +303,9 @@
             node.asking.good()
             r.answered[int(at - day.at)] += 1
             node.back = at
+            if node.standing is not None:
+                node.standing.told()
+                node.opened = min(node.opened, at)
             self.learn(node, at)
 
         self.later(reply.at, word)
--- a/harecross/follow/attempts.py
+++ b/harecross/follow/attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
 import time
 from collections.abc import Iterable, Mapping
@@ -20,6 +21,18 @@
 FLUSHED = 64  # lines written together at most; what a crash loses of them
 
 
+def process_uptime() -> float:
+    """Seconds since this process was started, the interpreter's start and the imports among them (proc(5))."""
+    try:
+        with open("/proc/self/stat", "rb") as f:
+            ticks = int(f.read().rpartition(b")")[2].split()[19])
+        with open("/proc/uptime", "rb") as f:
+            up = float(f.read().split()[0])
+    except (OSError, ValueError, IndexError):
+        return time.process_time()
+    return round(max(time.process_time(), up - ticks / os.sysconf("SC_CLK_TCK")), 3)
+
+
 class AttemptLog:
     """Writes the events of one node's requests."""
 
@@ -34,12 +47,12 @@
         self.names: dict[int, str] = {}
         self.stream: TextIO = sys.stderr if path == "-" else open(path, "a", encoding="utf-8")  # noqa: SIM115
         self.unflushed = 0
-        self.tell("start")
+        self.tell("start", **{"process.uptime": process_uptime()})
 
     def write(self, event: str, r: Request, **more: object) -> None:
         self.tell(event, r.message.id.decode("latin-1"), **more)
 
-    def tell(self, event: str, request: str = "", **more: object) -> None:
+    def tell(self, event: str, request: str = "", /, **more: object) -> None:
         """One line; `request` is "" for what is none of a request's events."""
         fields = {
             "timeUnixNano": time.time_ns(),
--- a/harecross/follow/cli.py
+++ b/harecross/follow/cli.py
@@ -21,6 +21,10 @@
     ended_badly: Annotated[
         bool, typer.Option("--ended-badly", help="No id: lists the requests that broke a rule or their time.")
     ] = False,
+    leaving: Annotated[
+        bool,
+        typer.Option("--leaving", help="No id: lists what went to servers already announced as leaving."),
+    ] = False,
     effect: Annotated[
         list[str] | None,
         typer.Option(help="CLASS=safe, keyed or unsafe; a class not named is taken as unsafe."),
@@ -30,15 +34,21 @@
     from harecross.follow.reader import BadLog, read
 
     effects = dict(effect_of(text) for text in effect or [])
-    paths = [Path(w) for w in (words if ended_badly else words[1:])]
+    if ended_badly and leaving:
+        stop("follow: one of --ended-badly and --leaving")
+    listing = ended_badly or leaving
+    paths = [Path(w) for w in (words if listing else words[1:])]
     if not paths:
-        stop("follow: no log is named" if ended_badly else "follow: an id and at least one log")
+        stop("follow: no log is named" if listing else "follow: an id and at least one log")
     try:
         logs = read(paths)
     except BadLog as e:
         stop(str(e))
     for text in logs.torn:
         typer.echo(f"{text}: torn, passed over", err=True)
+    if leaving:
+        show_leaving(logs)
+        return
     if ended_badly:
         bad = [(r, wrong) for r in logs.requests.values() if (wrong := r.wrong(logs.end, effects))]
         for r, wrong in sorted(bad, key=lambda pair: pair[0].taken):
@@ -54,6 +64,31 @@
     show(logs, first, first.events[0].at, 0)
 
 
+def show_leaving(logs: Logs) -> None:
+    """Each send that came too late, with the times that made it so."""
+    from harecross.follow.leaving import late_sends
+
+    if not any(logs.told.values()):
+        stop("follow: no list was read in these logs: they are older than that line, or begin after it")
+    found, begin = late_sends(logs), min(e.at for events in logs.told.values() for e in events)
+    for late in found:
+        seconds = {
+            "listed": late.listed, "started": late.started or None, "read": late.read, "sent": late.sent,
+            "written": late.written,
+        }  # fmt: skip
+        times = " ".join(
+            f"{name}={'never' if at is None else format((at - begin) / 1e9, '.3f')}"
+            for name, at in seconds.items()
+        )
+        typer.echo(
+            f"{late.request} node={late.node} server={late.server}: {late.after:.3f} s after it was told; {times} "
+            f"(listed: first read by {late.by})"
+        )
+    typer.echo(f"{len(found)} sends to servers announced as leaving")
+    if found:
+        raise typer.Exit(1)
+
+
 def effect_of(text: str) -> tuple[str, str]:
     name, sign, value = text.partition("=")
     if not sign or value not in EFFECTS:
--- a/harecross/follow/reader.py
+++ b/harecross/follow/reader.py
@@ -260,6 +260,9 @@
                 fields["server.id"]
             for name in ("time_left", "http.request.resend_count"):
                 int(fields.get(name, 0))
+            float(fields.get("process.uptime", 0))
+            if not all(isinstance(fields.get(name, []), list) for name in ("came", "left")):
+                raise TypeError("came, left: lists of servers")
             yield Event(int(values[0]), str(values[1]), str(values[2]), str(values[3]), fields)
         except (ValueError, KeyError, TypeError):
             if number == len(lines) and not text.endswith("\n"):
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -20,7 +20,7 @@
 from harecross.core.requests import Reader
 from harecross.core.room import Room
 from harecross.core.servers import Servers, clock
-from harecross.core.standing import Standing, longest_wait
+from harecross.core.standing import Standing, Word, longest_wait
 from harecross.core.stopping import LAST_REQUESTS, stopping
 from harecross.node.callers import ACCEPTS, Callers
 from harecross.node.config import BadConfig, Config, bound_socket, inherited_socket, read_config
@@ -383,10 +383,12 @@
             self.lag = 0.0
 
     def report(self) -> None:
-        now, lists = monotonic(), dict[str, float | str]()
+        now, lists = monotonic(), dict[str, float]()
         if self.watches():
-            lists.update(self.discovery.asking.figures(now))
-            lists["list_word"] = self.standing.word(now, self.discovery.asking).value
+            lists = self.discovery.asking.figures(now)
+            word = self.standing.word(now, self.discovery.asking)
+            if word in (Word.NONE, Word.KNOWN, Word.STALE):
+                lists[f"list_{word.value}"] = 1.0
         self.host.report(self.callers.bad, self.callers.turned_away, lists)
 
 
--- a/harecross/replay/plan.py
+++ b/harecross/replay/plan.py
@@ -20,7 +20,7 @@
 WORK_LEAST, WORK_MOST = 100, 2_000_000  # microseconds of one request's work after that
 SLOTS = 8
 LOAD = 0.5  # of the servers' slots, on average, where the trace does not tell how many servers there are
-SERVERS_LEAST, SERVERS_MOST = 2, 64
+SERVERS_LEAST, SERVERS_MOST = 2, 1024
 
 
 @dataclass(frozen=True, slots=True)
--- a/harecross/xds/feed.py
+++ b/harecross/xds/feed.py
@@ -21,7 +21,7 @@
 from harecross.xds.publish import ServerView
 
 NOWHERE = ("127.0.0.1", 0)  # the watch of a cluster without discovery, which is never begun
-PROBES_MOST = 256  # of one cluster, out at once
+PROBES_MOST = 1024  # of one cluster, out at once
 PROBE_STEP = 0.1  # seconds between two looks at which probes are due
 ALL = 1 << 30  # one copy judges every server
 
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -159,3 +159,57 @@
     whole = served("n", "r", 1.0, 1.0, "s")
     result = run("r", *logs(tmp_path, n=whole + whole[:40]))
     assert result.exit_code == 0 and "torn, passed over" in result.stderr
+
+
+def told(
+    node: str, at: float, kind: str = "changes", came: tuple[str, ...] = (), left: tuple[str, ...] = ()
+) -> str:
+    return line(node, "", at, "list", kind=kind, generation=1, came=list(came), left=list(left))
+
+
+def started(node: str, at: float, uptime: float) -> str:
+    return line(node, "", at, "start", **{"process.uptime": uptime})
+
+
+def test_what_went_to_a_server_announced_as_leaving_is_listed_with_its_times(tmp_path):
+    """The case of a herd day: a process serves by the list from before, its start takes most of the 300 ms."""
+    first = started("n0", 1.0, 0.2) + told("n0", 5.0, left=("s1",))
+    herd = started("n1", 8.27, 0.27) + told("n1", 8.28, "cached", came=("s1", "s2"))
+    herd += served("n1", "late", 8.301, 0.4, "s1") + served("n1", "other", 8.31, 0.4, "s2")
+    herd += told("n1", 8.32, left=("s1",)) + served("n1", "later", 9.0, 0.4, "s1")
+    herd += told("n1", 10.0, came=("s1",)) + served("n1", "back", 12.0, 0.4, "s1")
+    silent = started("n2", 1.0, 0.0) + served("n2", "unheard", 11.4, 0.4, "s2")
+    shown = run("--leaving", *logs(tmp_path, a=first, b=herd, c=silent))
+    assert shown.exit_code == 1
+    late, later, total = shown.output.splitlines()
+    assert late.startswith("late node=n1 server=s1: 0.301 s after") and "read=never" in late
+    assert "listed=4.000 started=7.000" in late and "first read by n0" in late
+    assert later.startswith("later node=n1 server=s1: 1.000 s after") and "read=7.320" in later
+    assert total == "2 sends to servers announced as leaving"
+
+
+def test_a_node_that_hears_nothing_may_send_for_six_seconds_more(tmp_path):
+    a = started("n0", 1.0, 0.0) + told("n0", 5.0, left=("s1",))
+    b = (
+        started("n1", 1.0, 0.0)
+        + served("n1", "just", 11.29, 0.4, "s1")
+        + served("n1", "late", 11.31, 0.4, "s1")
+    )
+    shown = run("--leaving", *logs(tmp_path, a=a, b=b))
+    assert shown.exit_code == 1 and shown.output.startswith("late ") and "1 sends" in shown.output
+
+
+@pytest.mark.parametrize(
+    "words, says",
+    [
+        (["--leaving", "--ended-badly", "a"], "one of"),
+        (["--leaving", "torn"], "line 1: not an event"),
+        (["--leaving", "old"], "no list was read"),
+    ],
+)
+def test_wrong_use_of_leaving_is_one_line_and_status_2(tmp_path, monkeypatch, words, says):
+    torn = line("n0", "", 1.0, "list", kind="changes", left="s1")
+    logs(tmp_path, a=started("n0", 1.0, 0.0), old=served("n0", "r", 1.0, 0.5, "s1"), torn=torn)
+    monkeypatch.chdir(tmp_path)
+    shown = run(*words)
+    assert shown.exit_code == 2 and says in shown.output and len(shown.output.splitlines()) == 1
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,245 @@
+"""Lists out of order: versions, restarts of discovery and of the node, and what was decided before a drain."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harecross.core.discovery import Directory, Watch
+from harecross.core.room import Room
+from harecross.core.servers import Servers
+from harecross.core.versions import Verdict, judge
+from tests.node_support import Catalog, World, entry, line, run, until, update, with_node
+
+
+@pytest.mark.parametrize(
+    "newest, version, whole, first, verdict",
+    [
+        (None, 3, True, True, Verdict.NEWER),
+        (7, 8, False, False, Verdict.NEWER),
+        (7, 7, False, True, Verdict.NEWER),
+        (7, None, False, False, Verdict.NEWER),
+        (7, 6, True, False, Verdict.OLDER),
+        (7, 6, False, False, Verdict.OLDER),
+        (7, 1, True, True, Verdict.ANEW),
+        (7, 1, False, True, Verdict.UNUSABLE),
+    ],
+)
+def test_versions_of_one_address_never_go_back_unless_discovery_began_anew(
+    newest, version, whole, first, verdict
+):
+    assert judge(newest, version, whole, first) is verdict
+
+
+def test_a_whole_list_older_than_the_change_before_it_brings_nobody_back():
+    """A call beside the watch: its answer was made before the drain and read after it."""
+
+    async def test(w: World) -> None:
+        watch = await w.watch()
+        before = [entry(f"s{i}", o.address) for i, o in enumerate(w.origins)]
+        w.catalog.whole = line(42, *before, reset=True)
+        Catalog.push(watch, line(43, {**before[0], "lifecycle": "terminating"}))
+        await until(lambda: len(w.node.directory.listed) == 1)
+        await w.node.discovery.ask_once()
+        assert len(w.node.directory.listed) == 1 and w.node.discovery.current.generation == 43
+        Catalog.push(watch, line(42, *before, reset=True))  # nor on the watch itself
+        Catalog.push(watch, line(44, before[0]))
+        await until(lambda: w.node.discovery.current.generation == 44)
+        assert len(w.node.directory.listed) == 2
+
+    with_node(test, servers=2)
+
+
+def test_a_discovery_that_began_anew_is_believed_and_a_change_on_what_is_not_known_is_asked_for_whole():
+    async def test(w: World) -> None:
+        watch, entries = await w.watch(), [entry(f"s{i}", o.address) for i, o in enumerate(w.origins)]
+        Catalog.push(watch, line(43, {**entries[0], "lifecycle": "terminating"}))
+        await until(lambda: w.node.discovery.current.generation == 43)
+        watch.close()
+        watch = await w.watch()
+        Catalog.push(watch, line(3, *entries, reset=True))
+        await until(lambda: w.node.discovery.current.generation == 3)
+        assert len(w.node.directory.listed) == 2
+        watch.close()
+        w.catalog.whole = line(2, entries[1], reset=True)
+        watch = await w.watch()
+        Catalog.push(watch, line(1, {**entries[1], "lifecycle": "terminating"}))
+        await until(lambda: w.node.discovery.current.generation == 2)
+        assert [n for n, at in w.node.directory.numbers.items() if at in w.node.directory.listed] == ["s1"]
+
+    with_node(test, servers=2)
+
+
+def test_a_new_address_counts_its_versions_from_anywhere():
+    """SIGHUP to a discovery whose versions are lower: its first list is asked for whole, and is newer."""
+
+    async def test(w: World) -> None:
+        watch, entries = await w.watch(), [entry(f"s{i}", o.address) for i, o in enumerate(w.origins)]
+        Catalog.push(watch, line(43))
+        await until(lambda: w.node.discovery.current.generation == 43)
+        other = await Catalog().start()
+        other.whole = line(5, entries[1], reset=True)
+        host, port = other.address.split(":")
+        assert w.node.discovery.move((host, int(port)))
+        await other.watches.get()
+        assert w.node.discovery.current.generation == 5 and len(w.node.directory.listed) == 1
+
+    with_node(test, servers=2)
+
+
+def test_a_further_attempt_never_goes_to_a_server_that_left_after_the_first():
+    async def test(w: World) -> None:
+        watch, client = await w.watch(), await w.client()
+        client.send("/put/1", key="k")
+        arrived = [asyncio.ensure_future(o.arrived.get()) for o in w.origins]
+        await asyncio.wait(arrived, return_when=asyncio.FIRST_COMPLETED)
+        at = next(i for i, a in enumerate(arrived) if a.done())
+        leaves = entry(f"s{1 - at}", w.origins[1 - at].address, "terminating")
+        Catalog.push(watch, line(42, leaves))
+        await until(lambda: len(w.node.directory.listed) == 1)
+        arrived[at].result().answer(503, extra=b"X-Not-Processed: 1\r\n")
+        again = asyncio.ensure_future(w.origins[at].arrived.get())
+        answered = asyncio.ensure_future(client.answer())
+        await asyncio.wait([again, answered], return_when=asyncio.FIRST_COMPLETED)
+        assert not arrived[1 - at].done() and w.origins[1 - at].links == 0
+        for task in (again, answered, arrived[1 - at]):
+            task.cancel()
+
+    with_node(test, servers=2)
+
+
+def test_a_held_call_goes_by_the_list_at_its_turn():
+    """Below the first tier a call waits for a slot; the server that frees it may have left meanwhile."""
+
+    async def test(w: World) -> None:
+        watch = await w.watch()
+        clients = [await w.client() for _ in range(40)]
+        for i, client in enumerate(clients):
+            client.send("/put/1", key=f"k{i}")
+        await until(lambda: w.node.host.balancer.waiting)
+        Catalog.push(watch, line(42, entry("s0", w.origins[0].address, "terminating")))
+        await until(lambda: len(w.node.directory.listed) == 1)
+        had = w.origins[0].arrived.qsize()
+        for _ in range(had):
+            w.origins[0].arrived.get_nowait().answer()
+        w.origins[1].answer_all()
+        for client in clients:
+            await client.answer()
+        assert w.origins[0].arrived.empty()
+
+    with_node(test, servers=2, settings={"layers": ["front", "back"], "tier": 1})
+
+
+# ---- any order of lists, losses and restarts, against what was really told ----------------------------------
+
+
+class Fleet:
+    """The truth: discovery's list by version, and what one node was really told of it."""
+
+    def __init__(self) -> None:
+        self.now: dict[str, tuple[str, int]] = {f"s{i}": ("in_service", i) for i in range(4)}
+        self.versions = {1: dict(self.now)}
+        self.version = 1
+        self.sent: list[tuple[dict, bool]] = []  # what this node's watch has been written so far
+
+    def change(self, name: str, state: str, place: int) -> dict:
+        had = self.now.get(name)
+        self.version += 1
+        if state == "terminated":
+            self.now.pop(name, None)
+        else:
+            self.now[name] = (state, place if had is None or had[0] != "in_service" else had[1])
+        self.versions[self.version] = dict(self.now)
+        place = self.now.get(name, had or (state, place))[1]
+        return update(self.version, entry(name, f"127.0.0.1:{1000 + place}", state))
+
+    def whole(self, version: int) -> dict:
+        entries = (entry(n, f"127.0.0.1:{1000 + p}", s) for n, (s, p) in self.versions[version].items())
+        return update(version, *entries, reset=True)
+
+    def in_service(self, version: int) -> set[str]:
+        return {name for name, (state, _) in self.versions[version].items() if state == "in_service"}
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("change"),
+            st.sampled_from([f"s{i}" for i in range(8)]),
+            st.sampled_from(["in_service", "terminating", "terminated"]),
+        ),
+        st.tuples(
+            st.sampled_from(["replay", "older", "beside", "lost", "anew", "restart"]), st.integers(0, 9)
+        ),
+    ),
+    max_size=30,
+)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(STEPS)
+def test_nothing_goes_to_who_left_and_nobody_is_shunned_whom_every_word_since_has_listed(steps):
+    async def body() -> None:
+        fleet = Fleet()
+        host = SimpleNamespace(server_list=lambda kind, entries: None, trace=None)
+
+        def process(known: dict | None) -> tuple[Directory, Watch]:
+            directory = Directory(host, Servers(1, 1, [], Room(1)), ["here", "there"], ["m1", "m2"])
+            watch = object.__new__(Watch)
+            lists = SimpleNamespace(lists=directory, settled=lambda w: None)
+            watch.discovery, watch.closed, watch.generation = lists, False, None
+            watch.asking = SimpleNamespace(good=lambda: None)
+            if known is not None:
+                directory.apply(known, cached=True)
+                watch.generation = known["generation"]
+            return directory, watch
+
+        directory, watch = process(None)
+        first, history = True, []
+
+        def tell(told: dict, beside: bool = False) -> None:
+            nonlocal first
+            was_first, first = first and not beside, first and beside
+            try:
+                watch.told(told, was_first)
+            except ValueError:
+                first = True  # the call ends, and the list is asked for whole
+                watch.told(fleet.whole(fleet.version), True)
+                first = False
+
+        tell(fleet.whole(1))
+        for step, *more in steps:
+            if step == "change":
+                name, state = more
+                told = fleet.change(name, state, int(name[1:]))
+                history.append(told)
+                tell(told)
+            elif step == "replay" and history:
+                tell(history[more[0] % len(history)])
+            elif step in ("older", "beside"):
+                version = sorted(fleet.versions)[more[0] % len(fleet.versions)]
+                tell(fleet.whole(version), beside=step == "beside")
+            elif step == "lost":
+                first = True
+                tell(fleet.whole(fleet.version))
+            elif step == "anew":  # it counts from 1 again, and tells all
+                fleet.version, fleet.versions, history = 1, {1: dict(fleet.now)}, []
+                first = True
+                tell(fleet.whole(1))
+            elif step == "restart":
+                known = fleet.whole(sorted(fleet.versions)[more[0] % len(fleet.versions)])
+                directory, watch = process(known)
+                first = True
+                tell(fleet.whole(fleet.version))
+            used = {n for n, at in directory.numbers.items() if at in directory.listed}
+            assert used == fleet.in_service(fleet.version), (step, more)
+            ready = {
+                n
+                for n, at in directory.numbers.items()
+                if (t := directory.servers.targets.get(at)) and t.ready
+            }
+            assert ready == used
+
+    run(body())
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -9,6 +9,9 @@
 from harecross.core import standing
 from harecross.core.asking import Asking, End, Terms
 from harecross.core.standing import ASKED_MOST, PUSHED_MOST, Standing, Word, longest_wait
+from harecross.fleet import rehearsal
+from harecross.fleet.discovery import Shape
+from harecross.fleet.rehearsal import Day, Rehearsal, Result
 from harecross.node import __main__ as node_main
 from harecross.node.__main__ import Node
 from harecross.node.config import config_from
@@ -274,3 +277,43 @@
     assert longest_wait(Terms(asked=True)) == ASKED_MOST < 30.0, "clients come after 30 s"
     assert longest_wait(Terms()) == PUSHED_MOST
     assert longest_wait(Terms(), beside=True) < 2.0, "a new process is to say yes in time"
+
+
+# ---- a herd's start, on the model ---------------------------------------------------------------------------
+
+
+def herd(nodes: int, seed: int, line: float = 5.0, **more: object) -> Result:
+    """Seven in ten nodes start at once in the middle of a release; discovery needs `line` s to answer them all."""
+    day = Day(
+        nodes=nodes, seed=seed, discovery=Shape(0.7 * nodes / line), trigger="restart", part=0.7, dead=1.5,
+        before=0.7, change=0.5, more=1.1, length=50.0, **more,
+    )  # fmt: skip
+    return Rehearsal(day).run()
+
+
+def test_at_a_herd_s_start_nobody_may_send_by_a_list_that_is_binding_old():
+    for seed in range(200):
+        r = herd(230, seed, line=2.0 + seed % 5, pushed=seed % 4 == 0)
+        assert r.forbidden == 0, seed
+        assert r.ready[-1] <= 15.0 and r.recovered, seed
+
+
+@pytest.mark.parametrize("nodes", [40, 230, 1024])
+def test_a_start_waits_for_no_longer_than_arithmetic_on_discovery_s_line_says(nodes):
+    assert herd(nodes, 1, pushed=True).ready[-1] < 0.5, "an agent's list costs no wait"
+    quick = herd(nodes, 1, line=1.5)
+    assert quick.ready[-1] < 0.3 + 1.5 + 0.1, "one line"
+    slow = herd(nodes, 1, line=5.0)
+    assert slow.after_start(0.3) < 0.3 + 2.0 + 0.1 and slow.ready[-1] < ASKED_MOST
+    assert herd(nodes, 1, line=60.0).ready[-1] == ASKED_MOST, "and never for ever"
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+def test_without_the_wait_the_rehearsal_counts_what_was_sent_by_the_list_from_before(pushed, monkeypatch):
+    monkeypatch.setattr(standing, "ASKED_MOST", 0.0)
+    monkeypatch.setattr(standing, "PUSHED_MOST", 0.0)
+    if pushed:
+        monkeypatch.setattr(
+            rehearsal, "BOOT", 0.31
+        )  # the start took a little longer than the settings' 250 + 50 ms
+    assert herd(230, 1, pushed=pushed).forbidden > 0
