--- a/benchmarks/sources.py
+++ b/benchmarks/sources.py
@@ -109,8 +109,8 @@
     """Seconds from a changed record to the box in the decision module of a real node."""
     from node_support import config_of
 
+    from harecross.node.__main__ import Node
     from harecross.node.config import config_from
-    from harecross.node.process import Node
     from harecross.sources.config import SourcesTable, Srv
     from harecross.sources.run import Sources
     from harecross.standins.dns import DnsServer
--- a/harecross/cli.py
+++ b/harecross/cli.py
@@ -56,7 +56,7 @@
     """Run one node; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_CONFIG are set."""
     if config is not None:
         os.environ["HARECROSS_CONFIG"] = str(config)
-    from harecross.node.process import main
+    from harecross.node.__main__ import main
 
     raise typer.Exit(main())
 
--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -56,7 +56,7 @@
 
     def written(self, a: Attempt, fresh: bool, whole: bool) -> None: ...
 
-    def ended(self, a: Attempt, outcome: Outcome) -> None: ...
+    def ended(self, a: Attempt, outcome: Outcome, report: Sequence[float]) -> None: ...
 
     def final(self, r: Request, how: str) -> None: ...
 
@@ -334,7 +334,7 @@
         r = exchange.request
         r.out.remove(exchange)
         if self.trace is not None:
-            self.trace.ended(exchange, outcome)
+            self.trace.ended(exchange, outcome, report)
         if exchange.begun:
             # The module has had this outcome. What broke later is still that server's failure.
             self.finish(r, "served" if outcome == Outcome.OK else "failed")
--- a/harecross/follow/attempts.py
+++ b/harecross/follow/attempts.py
@@ -10,7 +10,7 @@
 import os
 import sys
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import TextIO
 
 from harecross.core.host import Attempt, Request
@@ -85,9 +85,11 @@
         """The request went out on a connection, `fresh` or kept; `whole` is false while bytes stand here."""
         self.write("written", a.request, **self.where(a), fresh=fresh, whole=whole)
 
-    def ended(self, a: Attempt, outcome: Outcome) -> None:
-        """The attempt has its outcome."""
-        more = {} if outcome == Outcome.OK else {"error.type": outcome.name.lower()}
+    def ended(self, a: Attempt, outcome: Outcome, report: Sequence[float]) -> None:
+        """The attempt has its outcome, and with it perhaps a load report, its fields as the settings name them."""
+        more: dict[str, object] = {} if outcome == Outcome.OK else {"error.type": outcome.name.lower()}
+        if report:
+            more["server.load"] = list(report)
         self.write("ended", a.request, **self.where(a), **more)
 
     def final(self, r: Request, how: str) -> None:
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -9,8 +9,8 @@
 
 import uvloop
 
+from harecross.node.__main__ import Node
 from harecross.node.config import config_from
-from harecross.node.process import Node
 from harecross.standins.discovery import chunk, entry, line, update
 from harecross.standins.http import answer, header, listen, read_message
 
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -17,7 +17,7 @@
 from harecross.fleet.discovery import Desk, Shape
 from harecross.fleet.rehearsal import Day, Rehearsal, bound
 from harecross.fleet.waits import WAITS
-from harecross.node.process import Node
+from harecross.node.__main__ import Node
 from harecross.standins.discovery import chunk, entry, line, update
 
 FLEET = Terms(True, 40, 7, 10.0)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -18,7 +18,7 @@
 from harecross.core.bodies import BODY_LARGEST, BODY_MOST, STREAM_LEAST, STREAM_MOST, Upload, stream_buffer
 from harecross.interface import Outcome
 from harecross.node import caller, callers
-from harecross.node.process import bodies_part
+from harecross.node.__main__ import bodies_part
 from harecross.standins.http import read_body, read_message
 
 BIG = bytes(i * 7 % 251 for i in range(300_000))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -66,8 +66,8 @@
         done = call(*args, LB_CONFIG=str(config), **env)
         assert done.returncode == 2 and done.stderr.count("\n") == 1
     # What the file names is told once the configuration can be used.
+    from harecross.node.__main__ import from_operators
     from harecross.node.config import BadConfig
-    from harecross.node.process import from_operators
 
     os.environ["HARECROSS_CONFIG"] = str(path)
     try:
@@ -96,7 +96,7 @@
 
 
 def test_the_nodes_own_start_imports_none_of_the_extras():
-    text = "import sys, harecross.node.process; print([m for m in sys.modules])"
+    text = "import sys, harecross.node.__main__; print([m for m in sys.modules])"
     names = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, check=True).stdout
     for extra in (
         "msgspec",
@@ -209,8 +209,8 @@
     ],
 )
 def test_a_listener_in_the_node_that_cannot_be_is_one_line(tmp_path, monkeypatch, text, says):
+    from harecross.node.__main__ import from_operators
     from harecross.node.config import BadConfig
-    from harecross.node.process import from_operators
 
     pytest.importorskip("grpc")
     path = tmp_path / "h.toml"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -41,8 +41,8 @@
 from harecross.core.servers import Connection, Exchange, Servers, clock
 from harecross.interface import ListKind, Outcome, State
 from harecross.node import callers
+from harecross.node.__main__ import Node
 from harecross.node.config import config_from
-from harecross.node.process import Node
 from harecross.policy import balancer
 from harecross.policy.balancer import Balancer
 from harecross.policy.controller import GradientController
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -20,8 +20,8 @@
 
 from harecross.core.maintenance import Held, difference, from_json
 from harecross.node import callers, door
+from harecross.node.__main__ import Node
 from harecross.node.config import config_from
-from harecross.node.process import Node
 from harecross.node.store import Store
 from harecross.standins.http import read_message
 
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -17,8 +17,8 @@
 from harecross.core.roster import IN_USE, OUT
 from harecross.doors.ask import Look, Row, Said
 from harecross.doors.release import Do, Limits, Phase, Release
+from harecross.node.__main__ import Node
 from harecross.node.config import config_from
-from harecross.node.process import Node
 
 LIMITS = Limits(empty_within=20, restart_within=20, warm_within=20)
 
--- a/tests/test_sources_node.py
+++ b/tests/test_sources_node.py
@@ -15,8 +15,8 @@
 
 pytest.importorskip("dns")
 
+from harecross.node.__main__ import Node
 from harecross.node.config import config_from
-from harecross.node.process import Node
 from harecross.sources import keep
 from harecross.sources.config import File, SourcesTable, Srv, check
 from harecross.sources.run import Sources
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -12,9 +12,9 @@
 from harecross.fleet import rehearsal
 from harecross.fleet.discovery import Shape
 from harecross.fleet.rehearsal import Day, Rehearsal, Result
-from harecross.node import process as node_main
+from harecross.node import __main__ as node_main
+from harecross.node.__main__ import Node
 from harecross.node.config import config_from
-from harecross.node.process import Node
 from tests.node_support import (
     SETTINGS,
     Client,
