Servers that join take a random member's place in each node's subset

A release drains servers before it brings others: every subset had been refilled by those that stay, and nobody had a place for the new ones. Ruled out: the cold rule alone (they were listed for seconds, and no node had sent them more).

Change: who joins takes a random member's place with the chance that keeps all subsets equally likely (reservoir sampling); never one that is ejected or cut off; the displaced one's idle connections are closed, its calls end as usual.

--- a/harecross/policy/balancer.py
+++ b/harecross/policy/balancer.py
@@ -54,6 +54,8 @@
                 if known.ejected:
                     self.readmit(known)
                 known.renew(entry)
+            if not known.in_list:
+                self.joined.append(known)
             known.in_list = True
             known.cell, known.zone, known.weight = entry.cell, entry.zone, entry.weight
             if entry.zone not in self.zones:
--- a/harecross/policy/state.py
+++ b/harecross/policy/state.py
@@ -59,6 +59,7 @@
         self.near: list[Server] = []  # members in this zone that may be drawn
         self.able: list[Server] = []  # all members that may be drawn
         self.ejected: list[Server] = []
+        self.joined: list[Server] = []  # listed since the subset was last filled
         self.uneven = False  # members have different weights
         self.next_trial = 0
         self.requests: dict[int, Request] = {}
@@ -109,7 +110,8 @@
             self.kinds = {k: kind for k, kind in self.kinds.items() if kind in kept}
 
     def refill(self, now: int) -> None:
-        """Members that left are replaced by random others, up to the subset's bound."""
+        """Members that left are replaced by random others, up to the bound; who joins may replace one."""
+        joined, self.joined = (self.joined if self.members else []), []
         self.members = [m for m in self.members if m.member]
         self.stand_ins = [m for m in self.stand_ins if m.member]
         listed = sum(srv.in_list for srv in self.servers.values())
@@ -132,6 +134,16 @@
                 have += 1
                 if not whole:
                     self.stand_ins.append(srv)
+        # Failure prevented: a release drains servers before it brings others. Every subset has been refilled
+        # by those that stay, none has a place for the new ones: they stand idle while the old are buried. Who
+        # joins takes a random member's place, as often as keeps all subsets equally likely (Vitter, 1985).
+        for srv in joined if whole else ():
+            if srv.in_list and not srv.member and self.rng.random() * listed < len(self.members):
+                i = int(self.rng.random() * len(self.members))
+                old = self.members[i]
+                if not old.ejected and not self.zones[old.zone].cut:
+                    old.member, srv.member, self.members[i] = False, True, srv
+                    self.actions.close(old.id)
         if whole and self.stand_ins:
             for srv in self.stand_ins:
                 srv.member = srv.ejected
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -966,3 +966,67 @@
     assert len(node.waiting) == held - 1
     node.request(20, 99, 0, 0, 3 * SEC, False)
     assert len(node.waiting) == held and not rec.take("refuse", "fail", "send")
+
+
+def subset_after_a_release(seed: int, nodes: int = 200, servers: int = 120, replaced: int = 36) -> set[int]:
+    """A third of the servers drains in three steps, and only then others come in their place, a few at a time."""
+    node, rec = balancer(servers, seed=seed, instances=nodes)
+    for step in range(3):
+        gone = range(step * 12 + 1, step * 12 + 13)
+        node.server_list(SEC * (step + 1), ListKind.CHANGES, [ServerEntry(s, State.DRAINING) for s in gone])
+    for first in range(0, replaced, 4):
+        now = SEC * (5 + first)
+        came = [ServerEntry(1001 + i, ready_at=now) for i in range(first, first + 4)]
+        node.server_list(now, ListKind.CHANGES, came)
+    rec.take()
+    return {m.id for m in node.members}
+
+
+def test_servers_that_come_after_others_left_find_their_place_in_subsets():
+    """Over two hundred copies each server, new or old, is in as many subsets, give or take chance."""
+    found: dict[int, int] = {}
+    for seed in range(200):
+        members = subset_after_a_release(seed)
+        assert len(members) == 10
+        for server in members:
+            found[server] = found.get(server, 0) + 1
+    usual = 200 * 10 / 120
+    new = sum(n for s, n in found.items() if s > 1000) / 36
+    old = sum(n for s, n in found.items() if s <= 1000) / 84
+    assert 0.85 * usual < new < 1.15 * usual and 0.85 * usual < old < 1.15 * usual, (new, old)
+    assert max(found.values()) < usual + 5 * usual**0.5
+
+
+def test_who_gives_up_a_place_finishes_its_calls_and_its_idle_connections_are_closed():
+    node, rec = balancer(40, instances=80)
+    before = set(node.members)
+    for n in range(1, 13):
+        ask(node, rec, n * 1000, n)
+    out = {r.out for r in node.requests.values()}
+    in_flight = node.controller.in_flight
+    node.server_list(SEC, ListKind.CHANGES, [ServerEntry(s) for s in range(101, 241)])
+    displaced = before - set(node.members)
+    assert displaced and len(node.members) == 24 or len(node.members) == len(before)
+    assert {c[1] for c in rec.take("close")} >= {m.id for m in displaced}
+    assert node.controller.in_flight == in_flight and displaced & out
+    for n, r in list(node.requests.items()):
+        end(node, rec, SEC + 1000, n, 0, r.out.id, Outcome.OK)
+    assert node.controller.in_flight == 0 and all(m.in_flight == 0 for m in before)
+    assert displaced <= set(node.servers.values()), "it is listed, and may be drawn into the subset again"
+
+
+def test_the_same_list_again_changes_no_subset():
+    node, rec = balancer(120, instances=200)
+    before = list(node.members)
+    for n in range(50):
+        node.server_list(n, ListKind.FULL, [ServerEntry(i + 1) for i in range(120)])
+    assert node.members == before and not rec.take("close")
+
+
+def test_an_ejected_member_and_one_in_a_cut_zone_give_up_no_place():
+    node, rec = balancer(40, instances=80)
+    for m in node.members[:3]:
+        node.eject(0, m, silent=False)
+    ejected = list(node.ejected)
+    node.server_list(SEC, ListKind.CHANGES, [ServerEntry(s) for s in range(101, 401)])
+    assert ejected and all(m.member and m in node.members for m in ejected)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -173,7 +173,7 @@
         for action in self.rec.take():
             self.log.append((self.now, *action))
             name, *args = action
-            assert name in {"send", "refuse", "fail", "cancel", "set_timer", "log", "watch"}
+            assert name in {"send", "refuse", "fail", "cancel", "set_timer", "log", "watch", "close"}
             if name == "set_timer":
                 self.timers.append((self.now + args[0], args[1]))
             elif name == "cancel":
