A request whose client has left while it waited is not sent on

Ruled out by the same tests: a call held for a slot whose client's end has been read (Balancer.client_left takes it out), a large body whose client goes while its connection comes up (its outcome is final: no slot leaks). At fault, each line shown by a test: - Host.left ended an attempt only where the settings allow to cancel (by the module). One whose connection still came up was then written by Servers.connect, which asked for over, ready and until. Giving up what has not left the node is no cancel: no server has seen it. - Caller.data_received pauses reading while requests wait in the queue. Behind that pause no FIN and no reset is seen: all that a client had sent at once was sent on after it had gone. - Caller.next took what it had read, though the client's end lay behind it in the kernel (a late loop, a start: connections wait 0.5 s unaccepted). From the protocol: whoever has ended its sending has gone, since clients send one request at a time and close to go away; half-closed callers were let go before as well.

--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -34,6 +34,9 @@
 class Answers(Protocol):
     """Where a request came from."""
 
+    def waits(self) -> bool:
+        """Whether anybody still waits for the answer, as the kernel has it now; `left` follows once nobody does."""
+
     def begin(self, length: int | None, hold: Callable[[bool], None]) -> None:
         """A large answer begins; `served` or `failed` ends it. `hold` stops what comes, or lets it go on."""
 
@@ -81,6 +84,9 @@
         if self.request.caller is not None:
             self.request.caller.part(data)
 
+    def wanted(self) -> bool:
+        return self.request.caller is not None and self.request.caller.waits()
+
     def left(self) -> None:
         self.host.uploading(self.request, False)
 
@@ -92,7 +98,7 @@
 class Request:
     """A request that has been taken. `caller` is None once it has had its one final answer."""
 
-    __slots__ = ("id", "caller", "message", "until", "attempts", "out", "timer")
+    __slots__ = ("id", "caller", "message", "until", "attempts", "out", "timer", "fresh")
 
     def __init__(self, number: int, caller: Answers, message: Message, until: int) -> None:
         self.id = number
@@ -102,6 +108,7 @@
         self.attempts = 0
         self.out: list[Attempt] = []
         self.timer: asyncio.TimerHandle | None = None
+        self.fresh = True  # it is being taken, and its caller was there a moment ago
 
 
 class Host:
@@ -200,6 +207,7 @@
         except Exception:
             guard("request")
             self.give_up(r)
+        r.fresh = False
         return r
 
     def answer_by(self, message: Message, came: int) -> int:
@@ -233,7 +241,11 @@
             self.balancer.response_started(clock(), r.id, r.attempts - 1, 0, 0)
 
     def left(self, r: Request) -> None:
-        """The caller has gone: no answer is owed."""
+        """The caller has gone: no answer is owed, and what has not been sent on is not sent any more.
+
+        Guards against: a call whose connection still comes up is sent for nobody. That it ends here is no cancel,
+        which settings may forbid: no server has seen it.
+        """
         if r.caller is None:
             return
         self.end(r)
@@ -242,7 +254,7 @@
             self.trace.final(r, "left")
         for attempt in list(r.out):
             # Guards against: the module has no more say in a large answer, or in a body whose beginning is gone.
-            if attempt.begun or attempt.until == NEVER:
+            if attempt.begun or attempt.until == NEVER or not attempt.is_sent():
                 self.servers.abandon(attempt, Outcome.CANCELLED)
         self.uploading(r, False)
         self.tell_left(r)
@@ -371,6 +383,8 @@
         now, upload = clock(), r.message.upload
         if upload is not None and not upload.replayable:
             until = now  # its beginning is gone: nothing can be sent
+        elif not (r.fresh or r.caller.waits()):
+            until = now  # it has waited, for a slot or for the end of another attempt, and its caller has not
         elif upload is not None and not upload.complete:
             until = NEVER
         else:
--- a/harecross/core/servers.py
+++ b/harecross/core/servers.py
@@ -92,6 +92,14 @@
     def part(self, data: bytes) -> None:
         """More of that answer."""
 
+    def wanted(self) -> bool:
+        """Whether anybody waits for what comes of it: asked again before its first byte goes out late."""
+        return True
+
+    def is_sent(self) -> bool:
+        """Whether its last byte has left, so that it may run."""
+        return self.conn is not None and self.conn.sent
+
     def left(self) -> None:
         """The last byte of the upload has left."""
 
@@ -478,9 +486,9 @@
             self.put(conn)
             return
         # Guards against: while the connection came up the list may have said that the server drains, is
-        # gone or is another process, or the time may have run out. Not a byte has gone out yet.
+        # gone or is another process, the time may have run out, or the caller may have left. Not a byte has gone out.
         now = clock()
-        if not target.ready or exchange.until <= now:
+        if not target.ready or exchange.until <= now or not exchange.wanted():
             self.put(conn)
             self.end(exchange, Outcome.NOT_SENT)
         elif conn.transport is None or conn.transport.is_closing():
--- a/harecross/node/caller.py
+++ b/harecross/node/caller.py
@@ -13,6 +13,7 @@
 
 from harecross.core.bodies import BODY_LARGEST, BODY_MOST, Upload, too_many
 from harecross.core.host import Request, guard
+from harecross.core.presence import has_left
 from harecross.core.requests import HEAD_MOST, HEADERS_MOST, BadRequest, Message
 from harecross.core.servers import clock
 
@@ -73,10 +74,12 @@
         "hold_answer",
         "chunked",
         "ending",
+        "descriptor",
     )
 
     def __init__(self, front: Callers) -> None:
         self.front = front
+        self.descriptor = -1
         self.transport: asyncio.Transport | None = None
         self.parser: HttpRequestParser | None = None
         self.request: Request | None = None
@@ -113,6 +116,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.descriptor = transport.get_extra_info("socket").fileno()
         self.parser = HttpRequestParser(self)
         self.front.joined(self)
 
@@ -357,6 +361,9 @@
                 self.keep = item < 0
                 self.answer(abs(item), b"")
                 continue
+            if not self.waits():
+                self.queue.clear()
+                return
             self.keep = item.keep
             self.busy = True
             self.sending = item.upload
@@ -378,6 +385,29 @@
                         self.front.host.body_came(request)
                     self.upload_moved()
 
+    def waits(self) -> bool:
+        """Whether its caller is still there, by the kernel's word.
+
+        Guards against: a request is sent on that came together with its caller's end, or whose caller went while it
+        waited in the queue, where nothing is read and no end is seen.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        if not has_left(self.descriptor):
+            return True
+        # Never within a call of the module, which may be asking.
+        self.front.loop.call_soon(self.leave)
+        return False
+
+    def leave(self) -> None:
+        """Its caller has gone; `connection_lost` tells the host."""
+        if self.transport is None:
+            return
+        if self.request is None:
+            self.transport.close()
+        else:
+            self.transport.abort()  # what is still written to it must not hold up the news
+
     def conflict(self) -> None:
         self.keep = False
         self.front.found(409)
--- /dev/null
+++ b/tests/crossing_support.py
@@ -0,0 +1,93 @@
+"""Points at which one of two crossing events is held until the other has happened. Sockets are real."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from harecross.core.servers import Servers
+from tests.node_support import SETTINGS, Client, World, ids
+
+KINDS = [("/read/1", ""), ("/put/1", "k"), ("/pay/1", "")]  # safe, keyed, unsafe
+KIND_NAMES = ["safe", "keyed", "unsafe"]
+
+
+def allowing(cancel: bool = True, **more) -> dict:
+    """Settings that allow to cancel, or do not."""
+    return {"policy_limits": {**SETTINGS["policy_limits"], "cancel": cancel, **more}}
+
+
+class HeldConnects:
+    """Connections to servers that do not come up until `release`."""
+
+    def __init__(self, servers: Servers) -> None:
+        self.real = servers.loop
+        self.begun: asyncio.Queue[int] = asyncio.Queue()  # one for each connection that is waited for
+        self.up = asyncio.Event()
+        servers.loop = self  # type: ignore[assignment]
+
+    async def create_connection(self, *args):
+        self.begun.put_nowait(1)
+        await self.up.wait()
+        return await self.real.create_connection(*args)
+
+    def release(self) -> None:
+        self.up.set()
+
+    def hold(self) -> None:
+        self.up = asyncio.Event()
+
+    def __getattr__(self, name):
+        return getattr(self.real, name)
+
+
+class Plain:
+    """A caller whose bytes and end reach the kernel within one turn of the loop: the node reads neither before."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address)
+
+    def send(self, path: str = "/read/1", key: str = "", left: str = "25000m", times: int = 1) -> None:
+        method = "GET" if path.startswith("/read") or path.startswith("/_") else "POST"
+        text = b""
+        for _ in range(times):
+            head = (
+                f"{method} {path} HTTP/1.1\r\nHost: b\r\nX-Request-ID: p{next(ids)}\r\nX-Timeout: {left}\r\n"
+            )
+            head += f"Idempotency-Key: {key}\r\n" if key else ""
+            head += "Content-Length: 0\r\n" if method == "POST" else ""
+            text += head.encode() + b"\r\n"
+        self.sock.sendall(text)
+
+    def leave(self) -> None:
+        self.sock.close()
+
+
+async def taken(w: World, callers: int) -> None:
+    """Waits until the node has accepted so many connections."""
+    while len(w.node.callers.open) < callers:
+        await asyncio.sleep(0)
+
+
+async def turns(n: int = 20) -> None:
+    """So many turns of the loop: whatever the kernel has now has been read by then, and answered."""
+    for _ in range(n):
+        await asyncio.sleep(0.001)
+
+
+async def warm(w: World, servers: int | None = None) -> None:
+    """A kept connection to each server, and a measure of each class."""
+    client = await Client.open(w.node.address)
+    wanted = len(w.origins) if servers is None else servers
+    while sum(bool(t.idle) for t in w.node.servers.targets.values()) < wanted:
+        for path, key in KINDS:
+            client.send(path, key=key)
+            for o in w.origins:
+                if not hasattr(o, "answering"):
+                    o.answer_all()
+            await client.answer()
+    for o in w.origins:
+        if hasattr(o, "answering"):
+            o.answering.cancel()
+            del o.answering
+    client.writer.close()
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from harecross.core.servers import clock
 from harecross.node.__main__ import Node
 from harecross.node.config import config_from
 from harecross.standins.discovery import chunk, entry, line, update
@@ -88,6 +89,7 @@
     def __init__(self, head: bytes, body: bytes, writer: asyncio.StreamWriter, link: int) -> None:
         self.head, self.body, self.writer = head, body, writer
         self.link = link  # the number of the connection it came on
+        self.came = clock()
         self.gone = asyncio.Event()  # the node has closed the connection
 
     def answer(self, status: int = 200, body: bytes = b"ok", extra: bytes = b"") -> None:
