Lists are read as JSON values, not as lines: they may come indented

At fault: Stream.on_body cut at each line end and parsed each piece, so a whole list over several lines was never read at all, and a drain told there never heard.

core/values.py, free of I/O, reads values by their brackets; the standard decoder parses each. A value that was broken off is known by a line end within a string or by a blank line within the value, so discovery's next empty line tells it. Each byte is looked at once. Considered: ijson (a dependency more on `run` for what forty lines do), decoding the buffer again at each piece (quadratic).

Tests on loopback fail without it: indented watch and whole list in pieces of 7 bytes, broken off, and a dribbling list; layouts cut anywhere by hypothesis. test_crossings_left.py 50 times in a row: no failure.

--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
@@ -12,15 +11,16 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
-from harecross.core.asking import Asking, End, Terms
+from harecross.core.asking import BEAT, Asking, End, Terms
 from harecross.core.host import Host, guard, say
 from harecross.core.servers import Servers, clock
+from harecross.core.values import BLANK_LINE, BadValue, Values
 from harecross.core.versions import Verdict, judge
 from harecross.interface import ListKind, ServerEntry, State
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 CONNECT = 1.0  # seconds
-LINE_MOST = 1 << 22
+PART_MOST = BEAT  # seconds for which the parts of one list or change count as words
 PUSHED = Terms()
 COLD_MOST = 60_000_000  # microseconds after which a server put back is warm anywhere
 
@@ -238,7 +238,8 @@
         self.path = path
         self.transport: asyncio.Transport | None = None
         self.parser = HttpResponseParser(self)
-        self.buffer = b""
+        self.values = Values()
+        self.part_since: float | None = None  # when a value that is not whole yet began to come
         self.ended = asyncio.get_running_loop().create_future()
         self.good = False  # an answer has brought something usable
         self.bad = False  # it has brought what could not be read
@@ -255,52 +256,70 @@
         try:
             self.parser.feed_data(data)
         except HttpParserError as e:
-            say(f"discovery: bad answer: {e}")
-            self.bad = True
-            self.stop()
-        if self.good:
+            self.spoilt(f"bad answer: {e}")
+        if self.good and self.is_word(time.monotonic()):
             self.asking.word(time.monotonic())
 
+    def is_word(self, now: float) -> bool:
+        """Whether what has come tells that the watch is alive.
+
+        Guards against: a list that dribbles in and never ends keeps up a watch that tells nothing.
+        """
+        if not self.values.open:
+            self.part_since = None
+            return True
+        if self.part_since is None:
+            self.part_since = now
+        return now - self.part_since < PART_MOST
+
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.ended.done():
             self.ended.set_result(None)
 
     def on_body(self, data: bytes) -> None:
-        if self.parser.get_status_code() != 200:
+        if self.parser.get_status_code() != 200 or self.ended.done():
             return
         self.good = True
-        self.buffer += data
-        *lines, self.buffer = self.buffer.split(b"\n")
-        for line in lines:
-            self.line(line)
-        if len(self.buffer) > LINE_MOST:
-            say("discovery: line too long")
-            self.stop()
+        try:
+            for value in self.values.feed(data):
+                self.value(value)
+        except BadValue as e:
+            self.spoilt(f"bad list: {e}")
 
     def on_message_complete(self) -> None:
-        self.line(self.buffer)
-        self.buffer = b""
+        try:
+            self.values.finish()
+        except BadValue as e:
+            self.spoilt(f"bad list: {e}")
         self.stop()
 
-    def line(self, line: bytes) -> None:
-        line = line.strip()
+    def value(self, value: Any) -> None:
+        """One list or change, or the word that there is none."""
         if self.ended.done():
             return
-        if not line:
+        if value is BLANK_LINE:
             self.watch.unchanged()
             return
         first, self.first = self.first, False
         try:
-            self.watch.told(json.loads(line), first)
+            self.watch.told(value, first)
         except (ValueError, RecursionError) as e:
-            # Guards against: a change that could not be read is missed for good. The next watch starts
-            # after the last one that could.
-            say(f"discovery: bad line {line[:200]!r}: {e}")
-            self.good, self.bad = False, True
-            self.stop()
+            self.spoilt(f"bad list: {e}")
         except Exception:
             guard("discovery")
 
+    def spoilt(self, what: str) -> None:
+        """Ends the call.
+
+        Guards against: a change that could not be read is missed for good. The next watch starts after the last one
+        that could.
+        """
+        if self.ended.done():
+            return
+        say(f"discovery: {what}")
+        self.good, self.bad = False, True
+        self.stop()
+
     def stop(self) -> None:
         if self.transport is not None:
             self.transport.abort()
