A silent watch is open again before what it missed is binding, in any place of the round

At fault: Asking.turn_wait took this node's place in a round of 5 s, for four nodes as for two hundred: 2.5 + 0.05 + up to 5 s against 6. And a call that was refused or reset, as each is while discovery is down, was followed by the pause of 4 s and that round, made for calls failed in line: more than 6 s.

asking.py derives the longest round from the sum of waits (2.95 s; on the way to another address 0.95), follows the number of nodes, and keeps 5 s and the pause for nodes that have seen a long line: a call failed between 1.5 and 2.5 s, or answered after 1.75. Tested over every place for 2 to 1,024 nodes, by the model, and by four nodes on real sockets (all fail without it). An old test divided by the 5 s; it now divides by each round in force, and asks both.

--- a/harecross/core/asking.py
+++ b/harecross/core/asking.py
@@ -7,6 +7,10 @@
 whole fleet fits into; nodes stand evenly in it by their numbers, and rounds grow while calls fail. Where lists are
 pushed, an agent on the node's own machine answers at no cost, and is asked at once.
 
+What a silent watch misses is binding 6 s after it fell silent, so all waits together have to fit in (`longest_round`):
+a silence is known after 2.5 s, and the call stands in line for a while. A longer round is taken only by a node that
+has seen the line to be so long that a short one makes its calls fail.
+
 Times are seconds of one monotonic clock, which the host passes in.
 """
 
@@ -20,12 +24,18 @@
 from harecross.interface import Settings
 
 BINDING = 6.0  # what discovery has to tell counts as told so long after it was listed (PROTOCOL, "Figures")
+MOVED = 4.0  # the same after a new configuration named another discovery (STANDING, "Days at full size")
 GRACE = 0.3  # and from then on sends have so long to cease: the settings' 250 ms and the sockets' slack of 50
 BEAT = 2.5  # a watch without a word for so long has fallen silent; an empty line comes every 2
 FIRST_WORD = 1.0  # the same for the first word of a watch that is pushed: its agent answers at once
 QUEUE = 2.5  # a call that is asked waits for its first word for so long; discovery fails it after 2
+STOOD = 1.5  # a call failed after so long has stood in line; sooner, discovery was not there, or took no more calls
+LONG_WAIT = 1.75  # one answered after so long has found the line as long as it may be
 BACKOFF_FIRST, BACKOFF_MOST = 0.05, 0.5  # between calls to an agent
-ROUND = 5.0  # a round at first: within it each node asks once
+ANSWER = 0.5  # in line, where calls come no faster than they are worked off
+SLOT = 0.1  # of a round, for each node of the tier, before anything is known of the line
+ROUND = 5.0  # a round at first where the line is long: within it each node asks once
+LONG_CALLS = 3  # a line is taken to be long until so many calls were answered sooner
 PAUSE = 4.0  # nobody asks for so long after a failed call of his: what stands in line is worked off
 GROWTH = 2.0  # a round is so many times longer after each further call that fails
 ROUND_MOST = 4.0  # times the longest silence allowed: the rule allows so many after a failed call
@@ -34,6 +44,15 @@
 GOLDEN = 0.6180339887498949  # a node's place moves on by it from end to end: nobody is always the last
 
 
+def longest_round(moving: bool = False) -> float:
+    """Seconds of a round by which the last node in it has its word before anything that it missed is binding.
+
+    The sum over that node's waits: the silence is known, the call goes out, and is answered. While `moving` to another
+    discovery, that of a first call there which nobody answers.
+    """
+    return (MOVED - QUEUE if moving else BINDING - BEAT) - EARLY - ANSWER
+
+
 class State(Enum):
     """Where a node stands with discovery."""
 
@@ -87,9 +106,13 @@
         "waited",
         "told",
         "calls",
+        "long",
+        "moving",
+        "end",
     )
 
-    def __init__(self, terms: Terms, rng: Random) -> None:
+    def __init__(self, terms: Terms, rng: Random, moving: bool = False) -> None:
+        """`moving`: of a watch that is to take another's place."""
         self.terms = terms
         self.rng = rng
         self.state = State.IDLE
@@ -101,6 +124,9 @@
         self.turn = 0  # waits so far
         self.waited = 0.0  # how long the last call that was answered had waited for its first word
         self.calls = 0
+        self.moving = moving
+        self.end = End.ENDED  # how the last one did
+        self.long = 0  # above 0: the line in front of discovery is long
 
     def begin(self, now: float) -> None:
         """Somebody listens from now on."""
@@ -125,6 +151,7 @@
         if self.state is State.ASKING:
             self.state = State.SUBSCRIBED
             self.waited = now - self.asked_at
+            self.long = LONG_CALLS if self.waited >= LONG_WAIT else max(0, self.long - 1)
         self.heard_at = now
 
     def good(self) -> None:
@@ -138,7 +165,9 @@
             return
         if not self.told:
             self.failures += 1
-        self.state = State.WAITING
+        if end is End.FAILED and STOOD <= now - self.asked_at < QUEUE:
+            self.long = LONG_CALLS
+        self.state, self.end = State.WAITING, end
         self.next_at = now + (self.turn_wait(end) if self.terms.asked else self.agent_wait())
 
     def agent_wait(self) -> float:
@@ -147,19 +176,25 @@
     def turn_wait(self, end: End) -> float:
         """The wait for this node's turn in the present round.
 
-        A failed call tells that more stands in line than can be waited for. What comes while that is worked off is
-        failed too, and makes the line longer: so all who were failed pause first.
+        A call failed in line tells that more stands there than can be waited for. What comes while that is worked off
+        is failed too, and makes the line longer: so all who were failed pause first. A call that was refused, reset or
+        never answered says nothing of a line, unless one is known of: discovery is down, or was when it came, and what
+        it lists once it is back is binding 6 s later.
         """
         self.turn += 1
-        if end is End.FAILED:
+        if end is End.FAILED and self.long:
             return PAUSE + self.round() * self.place()
         alone = end is not End.SILENT and self.failures <= 1
         return EARLY + (ALONE if alone else self.round()) * self.place()
 
     def round(self) -> float:
         """How long the present round takes, in seconds."""
-        grown = ROUND * GROWTH ** max(0, min(self.failures, 20) - 1)
-        return float(min(grown, max(ROUND, ROUND_MOST * self.terms.within)))
+        growth = GROWTH ** max(0, min(self.failures, 20) - 1)
+        if not self.long:
+            short = min(SLOT * self.terms.nodes, longest_round(self.moving)) * growth
+            # What cannot be read comes from a discovery that is there and works for each call.
+            return float(short if self.end is End.BROKEN else min(short, longest_round(self.moving)))
+        return float(min(ROUND * growth, max(ROUND, ROUND_MOST * self.terms.within)))
 
     def place(self) -> float:
         """This node's place in the present round, in [0, 1)."""
--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -481,7 +481,7 @@
         elif address == self.current.address:
             return True  # back before the other one had come up
         else:
-            self.coming = Watch(self, address, None, Asking(self.terms, self.rng))
+            self.coming = Watch(self, address, None, Asking(self.terms, self.rng, moving=True))
         return True
 
     def settled(self, watch: Watch) -> None:
@@ -492,6 +492,7 @@
             if self.current is not None:
                 self.current.close()
             self.current, self.coming, self.asking = watch, None, watch.asking
+            watch.asking.moving = False
             say(f"discovery: moved to {watch.address[0]}:{watch.address[1]}")
 
     def fetch(self) -> None:
--- a/harecross/fleet/rehearsal.py
+++ b/harecross/fleet/rehearsal.py
@@ -156,11 +156,18 @@
 
     def run(self) -> Result:
         day = self.day
-        for node in self.nodes:
-            # A fleet that has run for long: every watch is open, and was spoken to within one beat.
-            node.asking.calling(0.0)
-            node.asking.word(day.at)
-            node.asking.good()
+        for place, node in enumerate(self.nodes, 1):
+            # A fleet that has run since a common start, whose line each node remembers as it found it: every watch
+            # is open, and was spoken to within one beat.
+            asking, stood = node.asking, place / day.discovery.rate
+            asking.begin(0.0)
+            asking.calling(0.0)
+            if stood > day.discovery.timeout:
+                asking.ended(day.discovery.timeout, End.FAILED)
+                asking.calling(day.at)
+            asking.word(min(stood, day.discovery.timeout))
+            asking.good()
+            asking.word(day.at)
         if day.trigger == "restart" and day.dead > 0:
             self.later(day.at - day.dead, self.kill)
         if day.before > 0:
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -56,17 +56,60 @@
 
 
 def test_a_watch_that_ends_alone_is_asked_for_soon_and_a_silent_one_in_its_turn():
-    ended, silent = [], []
+    ended, silent, long = [], [], []
     for number in range(40):
         for end, waits in ((End.ENDED, ended), (End.SILENT, silent)):
             a = subscribed(replace(FLEET, number=number))
             a.ended(10.0, end)
             waits.append(a.next_at - 10.0)
+        a = subscribed(replace(FLEET, number=number))
+        a.long = asking.LONG_CALLS
+        a.ended(10.0, End.SILENT)
+        long.append(a.next_at - 10.0)
     assert max(ended) <= asking.EARLY + asking.ALONE
-    assert max(silent) <= asking.EARLY + asking.ROUND
-    # One in each fortieth of the round: nodes stand evenly, whatever their seeds.
-    slots = sorted(int((w - asking.EARLY) / asking.ROUND * 40 + 40 - 40 * asking.GOLDEN) % 40 for w in silent)
-    assert len(set(slots)) >= 38
+    for waits, length in ((silent, asking.longest_round()), (long, asking.ROUND)):
+        assert max(waits) <= asking.EARLY + length
+        # One in each fortieth of the round: nodes stand evenly, whatever their seeds.
+        slots = sorted(int((w - asking.EARLY) / length * 40 + 40 - 40 * asking.GOLDEN) % 40 for w in waits)
+        assert len(set(slots)) >= 38
+
+
+@pytest.mark.parametrize("nodes", [2, 3, 4, 12, 67, 200, 1024])
+def test_the_sum_of_all_waits_is_within_what_is_binding_for_every_place_in_the_round(nodes):
+    """A silent watch, at its first, second and third time; a discovery that was down; a move to one that is mute."""
+    for number in range(nodes):
+        a = subscribed(Terms(True, nodes, number, 10.0), seed=number)
+        for _ in range(3):
+            a.ended(10.0, End.SILENT)
+            assert asking.BEAT + a.next_at - 10.0 + asking.ANSWER <= asking.BINDING + 1e-9
+            a.calling(a.next_at)
+            a.word(a.asked_at + asking.ANSWER)
+            a.good()
+        for _ in range(12):  # down: called in vain for as long as that lasts
+            a.calling(20.0)
+            a.ended(20.0, End.FAILED)
+            assert a.next_at - 20.0 + asking.QUEUE <= asking.BINDING
+        moving = Asking(Terms(True, nodes, number, 10.0), Random(number), moving=True)
+        moving.begin(0.0)
+        moving.calling(0.0)
+        moving.ended(moving.patience_ends(), End.FAILED)
+        assert moving.next_at + asking.ANSWER <= asking.MOVED + 1e-9
+
+
+def test_only_a_call_failed_in_line_tells_of_a_long_one():
+    for after, long in ((0.0, False), (1.0, False), (2.0, True), (2.4, True), (asking.QUEUE, False)):
+        a = subscribed()
+        a.calling(10.0)
+        a.ended(10.0 + after, End.FAILED)
+        assert (a.next_at - 10.0 - after >= asking.PAUSE) == long
+        for still in (long, long, False):
+            a.calling(20.0)
+            a.word(20.1)
+            a.good()
+            assert bool(a.long) == still
+    a.calling(30.0)
+    a.word(31.9)
+    assert a.long and a.round() == asking.ROUND
 
 
 def test_calls_that_fail_pause_and_their_rounds_grow_until_a_list_comes():
--- /dev/null
+++ b/tests/test_crossings_lists.py
@@ -0,0 +1,137 @@
+"""Lists that go quiet, move or go back while something else happens: what a node knows of in time, on real sockets."""
+
+import asyncio
+
+import pytest
+
+from harecross.core import asking
+from harecross.core.asking import BINDING, GRACE
+from harecross.standins.discovery import chunk
+from tests.crossing_support import turns
+from tests.node_support import (
+    STARTED,
+    Catalog,
+    Node,
+    World,
+    asked,
+    config_from,
+    config_of,
+    entry,
+    held_calls,
+    line,
+    run,
+    until,
+    update,
+    with_node,
+)
+
+
+def asking_nodes(test, nodes: int = 4) -> None:
+    """So many nodes that ask for their lists, each before a discovery that the test answers by hand."""
+
+    async def body() -> None:
+        rows = []
+        for number in range(nodes):
+            address, came = await held_calls()
+            known = update(41, entry("s0", "127.0.0.1:1"), reset=True)
+            node = Node(config_from(config_of(address, asked(nodes, number), known=known)))
+            rows.append((node, came, address, asyncio.create_task(node.run())))
+        await asyncio.gather(*(test(*row[:3]) for row in rows))
+        for row in rows:
+            row[3].cancel()
+
+    run(body())
+
+
+async def begun(came) -> asyncio.StreamWriter:
+    """The first call is answered: nothing has changed."""
+    writer = await came.get()
+    writer.write(STARTED + chunk(b""))
+    return writer
+
+
+def test_a_watch_that_falls_silent_is_open_again_before_what_it_missed_is_binding():
+    """A quarter of the servers begins to drain right after the silence; each node's place in the round is another."""
+    late = []
+
+    async def one(node: Node, came, address: str) -> None:
+        await begun(came)
+        await until(lambda: node.discovery.asking.state is asking.State.SUBSCRIBED)
+        silent_since = node.loop.time()
+        writer = await came.get()
+        writer.write(STARTED + chunk(line(42, entry("s0", "127.0.0.1:1", "terminating"))))
+        await until(lambda: not node.directory.listed)
+        late.append(node.loop.time() - silent_since - BINDING)
+
+    asking_nodes(one)
+    assert len(late) == 4 and max(late) < 0
+
+
+@pytest.mark.parametrize("how", ["refused", "503"])
+def test_what_is_listed_as_discovery_comes_back_is_known_before_it_is_binding(how):
+    late = []
+
+    async def one(node: Node, came, address: str) -> None:
+        writer = await begun(came)
+        await until(lambda: node.discovery.asking.state is asking.State.SUBSCRIBED)
+        writer.transport.abort()
+        for _ in range(3):  # down: each call is failed at once
+            writer = await came.get()
+            if how == "503":
+                writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+            else:
+                writer.transport.abort()
+        back = node.loop.time()
+        writer = await came.get()
+        writer.write(STARTED + chunk(line(42, entry("s0", "127.0.0.1:1", "terminating"))))
+        await until(lambda: not node.directory.listed)
+        late.append(node.loop.time() - back - BINDING)
+
+    asking_nodes(one)
+    assert len(late) == 4 and max(late) < 0
+
+
+def test_a_move_to_a_discovery_whose_first_call_nobody_answers_keeps_to_its_four_seconds():
+    late = []
+
+    async def one(node: Node, came, address: str) -> None:
+        await begun(came)
+        await until(lambda: node.discovery.asking.state is asking.State.SUBSCRIBED)
+        other, calls = await held_calls()
+        host, port = other.split(":")
+        moved = node.loop.time()
+        assert node.discovery.move((host, int(port)))
+        await calls.get()  # mute
+        writer = await calls.get()
+        whole = line(7, entry("s0", "127.0.0.1:1", "terminating"), reset=True)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(whole), whole))
+        await until(lambda: not node.directory.listed)
+        late.append(node.loop.time() - moved - asking.MOVED - GRACE)
+
+    asking_nodes(one)
+    assert len(late) == 4 and max(late) < 0
+
+
+def test_a_move_twice_and_back_while_the_first_is_coming_up_leaves_one_watch():
+    async def test(w: World) -> None:
+        await w.watch()
+        first = w.node.discovery.current
+        mute, calls = await held_calls()
+        third = await Catalog().start()
+        third.whole = line(9, entry("s0", w.origins[0].address), reset=True)
+        to = lambda a: (a.split(":")[0], int(a.split(":")[1]))  # noqa: E731
+        assert w.node.discovery.move(to(mute))
+        call = await calls.get()
+        assert w.node.discovery.move(to(w.catalog.address)) and w.node.discovery.coming is None
+        assert w.node.discovery.current is first
+        whole = line(99, reset=True)
+        call.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(whole), whole)
+        )  # too late to count
+        await turns()
+        assert len(w.node.directory.listed) == 1
+        assert w.node.discovery.move(to(mute)) and w.node.discovery.move(to(third.address))
+        await third.watches.get()
+        assert w.node.discovery.current.generation == 9 and w.node.discovery.coming is None
+
+    with_node(test)
