A list of another discovery that is older than what the last one told brings nobody back

Need: versions of two addresses cannot be compared, so the first list after SIGHUP was believed whatever it said. Where it was made before a drain that the old watch had just told, the server came back into service, and calls went to it. At fault: Watch.told applied the first list of the coming watch as it came.

core/leaving.py, free of I/O, keeps the processes (id and startedAtMs) last told as leaving. In the first list of another address they stay DRAINING until that address tells otherwise of them, they start again, or 12 s have passed: what leaves does not stay. Ruled out beside it: two moves in a row, a move back while the other comes up, an answer that comes too late (tests that passed before as well).

--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -11,8 +11,9 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
-from harecross.core.asking import BEAT, Asking, End, Terms
+from harecross.core.asking import BEAT, BINDING, Asking, End, Terms
 from harecross.core.host import Host, guard, say
+from harecross.core.leaving import Leaving
 from harecross.core.servers import Servers, clock
 from harecross.core.values import BLANK_LINE, BadValue, Values
 from harecross.core.versions import Verdict, judge
@@ -21,6 +22,9 @@
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 CONNECT = 1.0  # seconds
 PART_MOST = BEAT  # seconds for which the parts of one list or change count as words
+DOUBT = (
+    2 * BINDING
+)  # seconds after which a discovery is believed that another one said a server leaves: it has heard by then
 PUSHED = Terms()
 COLD_MOST = 60_000_000  # microseconds after which a server put back is warm anywhere
 
@@ -362,6 +366,7 @@
             if verdict is Verdict.UNUSABLE:
                 self.generation = None
                 raise ValueError("a change of a version never seen")
+        update = self.discovery.believed(self, update)
         self.discovery.lists.apply(update, full=self.generation is None)
         if isinstance(generation, int):
             self.generation = generation
@@ -446,6 +451,7 @@
         self.heard = False  # has spoken to this process
         self.on_word: Callable[[], None] = lambda: None  # the list in hand is of this process's own time
         self.fetching: set[asyncio.Task[None]] = set()
+        self.leaving = Leaving()
 
     def begin(self, known: Any) -> None:
         """The list of the configuration, as it was once told at the same address."""
@@ -495,6 +501,25 @@
             watch.asking.moving = False
             say(f"discovery: moved to {watch.address[0]}:{watch.address[1]}")
 
+    def believed(self, watch: Watch, update: Any) -> Any:
+        """The list or change as it is to be used."""
+        if watch is self.coming:
+            update, doubted = self.leaving.doubted(update)
+            if doubted:
+                say(
+                    f"discovery: {watch.address[0]}:{watch.address[1]} has not heard of {len(doubted)} that leave"
+                )
+                self.loop.call_later(DOUBT, self.trust, watch, doubted)
+        self.leaving.told(update)
+        return update
+
+    def trust(self, watch: Watch, doubted: list[Any]) -> None:
+        """Uses servers that another discovery said were leaving, if the present one has not said so by now."""
+        items = self.leaving.still(doubted)
+        if watch is self.current and items:
+            self.leaving.told({"instances": items})
+            self.lists.apply({"instances": items})
+
     def fetch(self) -> None:
         task = self.loop.create_task(self.ask_once())
         self.fetching.add(task)
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from harecross.core import asking
+from harecross.core import asking, discovery
 from harecross.core.asking import BINDING, GRACE
+from harecross.core.leaving import Leaving
 from harecross.standins.discovery import chunk
 from tests.crossing_support import turns
 from tests.node_support import (
@@ -112,6 +113,41 @@
     assert len(late) == 4 and max(late) < 0
 
 
+@pytest.mark.parametrize("then", ["it hears", "it starts again", "it says nothing more"])
+@pytest.mark.parametrize("state", ["terminating", "terminated"])
+def test_a_new_discovery_that_has_not_heard_of_a_drain_brings_nobody_back(state, then, monkeypatch):
+    """SIGHUP right after the old watch told of it; the new list was made before."""
+    if then == "it says nothing more":
+        monkeypatch.setattr(discovery, "DOUBT", 0.2)
+
+    async def test(w: World) -> None:
+        watch, entries = await w.watch(), [entry(f"s{i}", o.address) for i, o in enumerate(w.origins)]
+        Catalog.push(watch, line(43, {**entries[0], "lifecycle": state}))
+        await until(lambda: len(w.node.directory.listed) == 1)
+        other = await Catalog().start()
+        other.whole = line(5, *entries, reset=True)
+        host, port = other.address.split(":")
+        assert w.node.discovery.move((host, int(port)))
+        _, watch = await other.watches.get()
+        client = await w.client()
+        for _ in range(6):
+            client.send("/put/1", key="k")
+            (await w.origins[1].arrived.get()).answer()
+            assert (await client.answer())[0] == 200
+        assert w.origins[0].links == 0
+        if then == "it hears":
+            Catalog.push(watch, line(6, {**entries[0], "lifecycle": "terminating"}))
+            await until(lambda: w.node.discovery.current.generation == 6)
+            assert len(w.node.directory.listed) == 1 and not w.node.discovery.leaving.still([])
+        elif then == "it starts again":
+            Catalog.push(watch, line(6, {**entries[0], "startedAtMs": 77}))
+            await until(lambda: len(w.node.directory.listed) == 2)
+        else:
+            await until(lambda: len(w.node.directory.listed) == 2)  # by then it would have heard
+
+    with_node(test, servers=2)
+
+
 def test_a_move_twice_and_back_while_the_first_is_coming_up_leaves_one_watch():
     async def test(w: World) -> None:
         await w.watch()
@@ -135,3 +171,21 @@
         assert w.node.discovery.current.generation == 9 and w.node.discovery.coming is None
 
     with_node(test)
+
+
+def test_what_leaves_is_known_by_its_process_and_the_memory_of_it_is_bounded(monkeypatch):
+    from harecross.core import leaving
+
+    monkeypatch.setattr(leaving, "KEPT_MOST", 3)
+    known, up = Leaving(), entry("a", "h:1", startedAtMs=5)
+    known.told(update(1, {**up, "lifecycle": "terminating"}))
+    marked, doubted = known.doubted(update(1, up, entry("b", "h:2"), reset=True))
+    assert doubted == [up] and [e["lifecycle"] for e in marked["instances"]] == ["terminating", "in_service"]
+    assert known.doubted(update(1, {**up, "startedAtMs": 6}))[1] == []
+    known.told(update(2, up))  # the same discovery takes it back
+    assert known.doubted(update(1, up))[1] == [] and known.still([up]) == []
+    known.told(update(3, *(entry(f"x{i}", "h:3", "terminated") for i in range(9))))
+    assert len(known.processes) == 3
+    for odd in (None, {"instances": None}, {"instances": [1, {"lifecycle": []}]}):
+        known.told(odd)
+        assert known.doubted(odd)[1] == []
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -200,7 +200,7 @@
         def process(known: dict | None) -> tuple[Directory, Watch]:
             directory = Directory(host, Servers(1, 1, [], Room(1)), ["here", "there"], ["m1", "m2"])
             watch = object.__new__(Watch)
-            lists = SimpleNamespace(lists=directory, settled=lambda w: None)
+            lists = SimpleNamespace(lists=directory, settled=lambda w: None, believed=lambda w, u: u)
             watch.discovery, watch.closed, watch.generation = lists, False, None
             watch.asking = SimpleNamespace(good=lambda: None)
             if known is not None:
