A kept connection is looked at, and rests, before it carries the next request

And a request written to a connection whose end lay in the kernel unread ended as a reset, which may have run: an unsafe one fails for it. At fault: Connection.settle put the connection back at once and Servers.send took the one used last by what the loop had read. Ruled out: a connection that was reset (the write fails, nothing has run), one whose end had been read.

Servers.kept takes the connection used last that has rested, and on which nothing has come by the kernel's word (core/presence.py). The rest is 20 ms, or a quarter of what the last exchange took where that is less: pools grow by a quarter at most. Left: an answer that is later than that meets another request all the same; nothing in it tells whose it is.

--- a/harecross/core/servers.py
+++ b/harecross/core/servers.py
@@ -13,6 +13,7 @@
 
 from harecross.core.answers import Answer, Reading, read_report, report_places
 from harecross.core.bodies import STREAM_MOST, Upload, stream_buffer
+from harecross.core.presence import is_quiet
 from harecross.core.requests import HOST
 from harecross.core.room import Room
 from harecross.interface import Outcome
@@ -21,6 +22,11 @@
 NEVER = 1 << 62  # no time at all
 PASSING = 1 << 25  # bytes of large answers that may stand here, where nothing else is told
 CROWD = 4  # one in so many descriptors may be a large answer that begins
+# A second answer may come some milliseconds after the first (STANDING, "Days at full size") and would be taken for the
+# next exchange's. A kept connection rests for so long before that one, or for one part in so many of what the last one
+# took: there is then a connection more for each so many in use.
+REST_MOST = 20_000
+REST_PART = 4
 STALLED = 6_000_000  # a large body that its server neither takes nor gives on for so long is given up
 
 
@@ -130,6 +136,8 @@
         "held",
         "moved",
         "buffer",
+        "descriptor",
+        "rested",
     )
 
     def __init__(self, pool: Servers, target: Target) -> None:
@@ -146,11 +154,14 @@
         self.held = False  # the caller does not take what the server sent
         self.moved = 0  # when a large body last went on
         self.buffer = 0  # of the kernel for what the server sends, as asked for
+        self.descriptor = -1
+        self.rested = 0  # when it may carry the next exchange
 
     # ---- asyncio --------------------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.descriptor = transport.get_extra_info("socket").fileno()
         # With no room in the buffer a write is tried at once, and a pause tells that bytes have not left.
         self.transport.set_write_buffer_limits(high=0)
         # Guards against: what a caller takes slowly piles up by the megabyte in the kernel.
@@ -318,6 +329,8 @@
         whole = self.sent  # an answer before the last byte has left leaves half a request on the line
         self.exchange = self.answer = None
         if answer.reusable and whole and self.usable:
+            now = clock()
+            self.rested = now + min(REST_MOST, (now - exchange.began) // REST_PART)
             self.pool.put(self)
         else:
             self.discard()
@@ -427,15 +440,10 @@
             return
         if exchange.until < NEVER:
             self.limit(exchange)
-        while target.idle:
-            conn = target.idle.pop()
-            if now - conn.since >= self.idle_time:
-                # Guards against: a request written as the server closes its idle end is a reset, which
-                # may have run.
-                conn.discard()
-            elif conn.transport is not None and not conn.transport.is_closing():
-                conn.start(exchange, now)
-                return
+        conn = self.kept(target, now)
+        if conn is not None:
+            conn.start(exchange, now)
+            return
         if not (self.room.server_fits() or self.spare() or self.on_short()):
             # Guards against: at the descriptor limit the node could not even accept and refuse.
             self.loop.call_soon(self.end, exchange, Outcome.NOT_SENT)
@@ -446,6 +454,33 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def kept(self, target: Target, now: int) -> Connection | None:
+        """The idle connection used last that has rested and on which nothing has come; None if there is none.
+
+        Guards against: a request written as the server closes its idle end is a reset, which may have run; and on one
+        whose server has said something more, that is taken for the answer. Both may be in the kernel, not yet read.
+        """
+        idle = target.idle
+        at = len(idle) - 1
+        while at >= 0:
+            conn = idle[at]
+            if now - conn.since >= self.idle_time:
+                for old in idle[: at + 1]:  # it, and all that stand before it
+                    old.discard()
+                del idle[: at + 1]
+                return None
+            if conn.rested <= now:
+                del idle[at]
+                if (
+                    conn.transport is not None
+                    and not conn.transport.is_closing()
+                    and is_quiet(conn.descriptor)
+                ):
+                    return conn
+                conn.discard()
+            at -= 1
+        return None
+
     def limit(self, exchange: Exchange) -> None:
         """Gives it up at its time."""
         exchange.timer = self.loop.call_later((exchange.until - clock()) / 1e6, self.expire, exchange)
