A keyed repeat goes out within its window or not at all

Need: servers drop a repeat for a stated window from the first attempt's send. Balancer.after_failure asks for it when it decides; the first byte goes out once a connection is up, a connect time-out later. At fault: Servers.connect looked again at list and clock, and not at the window. Shown on loopback: a repeat decided at 0.1 s of 0.4 whose connection came up at 0.45 was written, and could have run twice.

The host knows when the first attempt went out that may have run; an attempt of a keyed class carries the end of its window (begin_by), and is NOT_SENT from then on. No line in the module.

--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -13,7 +13,7 @@
 from harecross.core.requests import Message
 from harecross.core.servers import NEVER, Exchange, Servers, clock
 from harecross.core.standing import Standing
-from harecross.interface import ListKind, Outcome, ServerEntry, Settings
+from harecross.interface import NEVER_RAN, Effect, ListKind, Outcome, ServerEntry, Settings
 from harecross.policy.balancer import Balancer
 
 ROOM = 15_000  # of the client's time is kept for answering
@@ -98,7 +98,7 @@
 class Request:
     """A request that has been taken. `caller` is None once it has had its one final answer."""
 
-    __slots__ = ("id", "caller", "message", "until", "attempts", "out", "timer", "fresh")
+    __slots__ = ("id", "caller", "message", "until", "attempts", "out", "timer", "fresh", "ran_at")
 
     def __init__(self, number: int, caller: Answers, message: Message, until: int) -> None:
         self.id = number
@@ -108,6 +108,7 @@
         self.attempts = 0
         self.out: list[Attempt] = []
         self.timer: asyncio.TimerHandle | None = None
+        self.ran_at: int | None = None  # when the first attempt was sent that may have run
         self.fresh = True  # it is being taken, and its caller was there a moment ago
 
 
@@ -348,6 +349,8 @@
         r.out.remove(exchange)
         if self.trace is not None:
             self.trace.ended(exchange, outcome, report)
+        if r.ran_at is None and outcome not in NEVER_RAN:
+            r.ran_at = exchange.began
         if exchange.begun:
             # The module has had this outcome. What broke later is still that server's failure.
             self.finish(r, "served" if outcome == Outcome.OK else "failed")
@@ -393,6 +396,11 @@
         attempt.host = self
         attempt.upload = upload
         attempt.patience = min(timeout, r.message.time_left) if timeout > 0 else r.message.time_left
+        c = self.settings.classes[min(r.message.klass, len(self.settings.classes) - 1)]
+        if c.effect == Effect.KEYED and r.ran_at is not None:
+            # Guards against: the repeat was decided within the window in which servers would drop it, and goes out
+            # behind it, once its connection has come up.
+            attempt.begin_by = r.ran_at + c.window
         attempt.request = r
         attempt.number = r.attempts
         r.attempts += 1
--- a/harecross/core/servers.py
+++ b/harecross/core/servers.py
@@ -67,6 +67,7 @@
         "upload",
         "patience",
         "begun",
+        "begin_by",
     )
 
     def __init__(
@@ -90,6 +91,7 @@
         self.upload: Upload | None = None  # in place of `body`; `until` is set once all of it has left
         self.patience = 0  # and is then so much later
         self.begun = False  # its answer is being passed on
+        self.begin_by = NEVER  # its first byte goes out before then or not at all
 
     def begin(self, length: int | None, report: Sequence[float]) -> bool:
         """A large answer begins, of that many bytes if it says so. Whether anybody wants it."""
@@ -435,7 +437,7 @@
         now = clock()
         exchange.began = now
         target = exchange.target = self.targets.get(exchange.server)
-        if target is None or not target.ready or exchange.until <= now:
+        if target is None or not target.ready or min(exchange.until, exchange.begin_by) <= now:
             self.loop.call_soon(self.end, exchange, Outcome.NOT_SENT)
             return
         if exchange.until < NEVER:
@@ -523,7 +525,7 @@
         # Guards against: while the connection came up the list may have said that the server drains, is
         # gone or is another process, the time may have run out, or the caller may have left. Not a byte has gone out.
         now = clock()
-        if not target.ready or exchange.until <= now or not exchange.wanted():
+        if not target.ready or min(exchange.until, exchange.begin_by) <= now or not exchange.wanted():
             self.put(conn)
             self.end(exchange, Outcome.NOT_SENT)
         elif conn.transport is None or conn.transport.is_closing():
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -7,12 +7,16 @@
 
 from harecross.core import servers
 from harecross.interface import Outcome
-from tests.crossing_support import KIND_NAMES, KINDS, turns
-from tests.node_support import World, until, with_node
+from tests.crossing_support import KIND_NAMES, KINDS, HeldConnects, turns, warm
+from tests.node_support import SETTINGS, World, first, until, with_node
 
 every_kind = pytest.mark.parametrize("kind", KINDS, ids=KIND_NAMES)
 
 
+def window(ms: int) -> dict:
+    return {"classes": [{**c, "window": ms * 1000} for c in SETTINGS["classes"]]}
+
+
 class Direct:
     """A server whose connections the test holds as plain sockets: bytes and ends reach the kernel when it says."""
 
@@ -142,3 +146,42 @@
         assert w.node.servers.open == 1
 
     with_direct(test)
+
+
+def test_a_keyed_repeat_does_not_go_out_behind_its_window():
+    """Decided within it; the connection comes up later, and by then the servers have forgotten the first one."""
+
+    async def test(w: World) -> None:
+        await warm(w)
+        for target in w.node.servers.targets.values():
+            w.node.servers.close_idle(target)
+        client = await w.client()
+        client.send("/put/1", key="k")
+        at = await first(*w.origins)
+        held = HeldConnects(w.node.servers)
+        at.writer.transport.abort()  # it may have run
+        await held.begun.get()  # the repeat is on its way
+        await asyncio.sleep(0.45)
+        held.release()
+        status, _, _ = await client.answer()
+        assert status == 502 and all(o.arrived.empty() for o in w.origins)
+
+    with_node(test, servers=2, settings=window(400))
+
+
+def test_a_keyed_repeat_within_its_window_goes_out():
+    async def test(w: World) -> None:
+        await warm(w)
+        for target in w.node.servers.targets.values():
+            w.node.servers.close_idle(target)
+        client = await w.client()
+        client.send("/put/1", key="k")
+        at = await first(*w.origins)
+        held = HeldConnects(w.node.servers)
+        at.writer.transport.abort()
+        await held.begun.get()
+        held.release()
+        (await first(*w.origins)).answer(body=b"again")
+        assert (await client.answer())[2] == b"again"
+
+    with_node(test, servers=2, settings=window(20_000))
