--- a/harecross/core/servers.py
+++ b/harecross/core/servers.py
@@ -442,11 +442,13 @@
             return
         if exchange.until < NEVER:
             self.limit(exchange)
-        conn = self.kept(target, now)
+        fits = self.room.server_fits()
+        # Where no other one fits, the one that has not rested is better than the work of another handshake.
+        conn = self.kept(target, now) or (None if fits else self.kept(target, now, rested=False))
         if conn is not None:
             conn.start(exchange, now)
             return
-        if not (self.room.server_fits() or self.spare() or self.on_short()):
+        if not (fits or self.spare() or self.on_short()):
             # Guards against: at the descriptor limit the node could not even accept and refuse.
             self.loop.call_soon(self.end, exchange, Outcome.NOT_SENT)
             return
@@ -456,7 +458,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def kept(self, target: Target, now: int) -> Connection | None:
+    def kept(self, target: Target, now: int, rested: bool = True) -> Connection | None:
         """The idle connection used last that has rested and on which nothing has come; None if there is none.
 
         Guards against: a request written as the server closes its idle end is a reset, which may have run; and on one
@@ -471,7 +473,7 @@
                     old.discard()
                 del idle[: at + 1]
                 return None
-            if conn.rested <= now:
+            if conn.rested <= now or not rested:
                 del idle[at]
                 if (
                     conn.transport is not None
--- a/harecross/node/caller.py
+++ b/harecross/node/caller.py
@@ -13,7 +13,7 @@
 
 from harecross.core.bodies import BODY_LARGEST, BODY_MOST, Upload, too_many
 from harecross.core.host import Request, guard
-from harecross.core.presence import has_left
+from harecross.core.presence import has_left, is_quiet
 from harecross.core.requests import HEAD_MOST, HEADERS_MOST, BadRequest, Message
 from harecross.core.servers import clock
 
@@ -526,6 +526,23 @@
             self.closing = True
             self.transport.close()
 
+    def has_unread(self) -> bool:
+        """Whether more has come that can be read as a request, and has not been: bytes, or an end."""
+        if self.transport is None or self.transport.is_closing() or self.closing or self.paused:
+            return False
+        return not is_quiet(self.descriptor)
+
+    def end_idle(self) -> bool:
+        """Ends a connection that owes nothing, unless a request lies unread on it; whether it has.
+
+        Guards against: a request that crosses the end of its connection has been taken as far as its caller can
+        know, and closing with bytes unread resets the connection.
+        """
+        if self.transport is None or self.has_unread():
+            return False
+        self.transport.close()
+        return True
+
     def idle(self) -> bool:
         return not (self.busy or self.queue or self.reading or self.closing or self.full)
 
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -144,7 +144,8 @@
             for caller, since in group.items():
                 if clock() - since < age:
                     break
-                return self.put_out(caller)
+                if not caller.has_unread():
+                    return self.put_out(caller)
         if self.room.servers_may_give() and self.host.servers.spare():
             return True
         # Guards against: callers that send half a head and stay hold every place for as long as a slow one may.
@@ -175,6 +176,7 @@
     async def let_go(self) -> None:
         """Closes the socket, and waits for connections that are being taken."""
         assert self.sock is not None
+        self.loop.remove_reader(self.sock)  # a look for room may have put it back
         self.sock.close()
         if self.tasks:
             await asyncio.wait(self.tasks)
@@ -241,14 +243,17 @@
         now = clock()
         for group in (self.silent, self.owing):
             for caller in taken(group, now - OWED):
-                caller.overdue()
+                if caller.has_unread():
+                    group[caller] = now  # what it owes has come in this turn
+                else:
+                    caller.overdue()
         emptied = self.standing_by and now > self.stood_at + EMPTIED
         if emptied:
             for caller in taken(self.silent, now - EMPTIED // 2):
                 caller.overdue()
         for caller in taken(self.resting, now if emptied else now - RESTING):
-            if caller.transport is not None:
-                caller.transport.close()
+            if not caller.end_idle() and caller.transport is not None:
+                self.rests(caller)
         for group, most in ((self.ending, LINGER), (self.lagging, LAGGING)):
             for caller in taken(group, now - most):
                 if caller.transport is not None:
@@ -257,8 +262,7 @@
     def close_idle(self) -> None:
         """Closes connections that have had an answer and hold nothing; new ones may have a request coming."""
         for caller in list(self.resting):
-            if caller.transport is not None:
-                caller.transport.close()
+            caller.end_idle()
 
     def close_all(self) -> None:
         for caller in list(self.open):
@@ -266,5 +270,5 @@
                 caller.transport.close()
 
     def busy(self) -> bool:
-        """Whether a request that came whole has no answer yet."""
-        return any(c.busy or c.queue for c in self.open)
+        """Whether a request that came whole has no answer yet, be it that nobody has read it."""
+        return any(c.busy or c.queue or c.has_unread() for c in self.open)
--- /dev/null
+++ b/tests/test_crossings_stop.py
@@ -0,0 +1,211 @@
+"""A stop, a sweep or a lack of room that meets a request in the kernel: what has been taken is answered."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from harecross.core import stopping
+from harecross.node import caller, callers
+from tests.crossing_support import KIND_NAMES, KINDS, HeldConnects, Plain, allowing, taken, turns
+from tests.node_support import SETTINGS, World, with_node
+
+every_kind = pytest.mark.parametrize("kind", KINDS, ids=KIND_NAMES)
+QUICK = {"classes": [{**c, "goal_time": 300_000, "hard_limit": 400_000} for c in SETTINGS["classes"]]}
+
+
+async def status(client: Plain) -> int:
+    """That of the answer; 0 where the connection ends without one."""
+    client.sock.setblocking(False)
+    loop, text = asyncio.get_running_loop(), b""
+    try:
+        while b"\r\n\r\n" not in text:
+            data = await loop.sock_recv(client.sock, 65536)
+            if not data:
+                return 0
+            text += data
+    except ConnectionError:
+        return 0
+    return int(text.split(b" ")[1])
+
+
+async def served(w: World) -> Plain:
+    """A caller that has had an answer and keeps its connection."""
+    client = Plain(w.node.address)
+    client.send("/_health")
+    assert await status(client) == 200
+    assert w.node.callers.resting
+    return client
+
+
+def before(owner, name: str, what, when=lambda: True) -> None:
+    """Does `what` once, right before that call, in the same turn of the loop."""
+    real, done = getattr(owner, name), []
+
+    def call(*args):
+        if not done and when():
+            done.append(1)
+            what()
+        return real(*args)
+
+    setattr(owner, name, call)
+
+
+@every_kind
+@pytest.mark.parametrize("path", ["goes at once", "serves on"])
+def test_a_request_that_crosses_the_end_of_a_kept_connection_at_a_stop(kind, path, monkeypatch):
+    if path == "goes at once":
+        monkeypatch.setattr(stopping, "KILL_MOST", 0.2)
+
+    async def test(w: World) -> None:
+        for origin in w.origins:
+            origin.answer_all()
+        client = await served(w)
+        before(w.node.callers, "close_idle", lambda: client.send(*kind))
+        w.node.stop.set()
+        assert await status(client) == 200
+        await w.task
+
+    with_node(test, settings=QUICK if path == "serves on" else None)
+
+
+@every_kind
+def test_a_request_that_comes_as_a_stop_closes_the_last_connections(kind):
+    """A connection that has said nothing yet is kept to the end; its first request lies in the kernel by then."""
+
+    async def test(w: World) -> None:
+        for origin in w.origins:
+            origin.answer_all()
+        client = Plain(w.node.address)
+        await taken(w, 1)
+        before(w.node.callers, "busy", lambda: client.send(*kind))
+        w.node.stop.set()
+        assert await status(client) == 200
+        await w.task
+
+    with_node(test, settings=QUICK)
+
+
+@every_kind
+def test_connections_that_wait_as_the_listener_closes(kind):
+    async def test(w: World) -> None:
+        for origin in w.origins:
+            origin.answer_all()
+        clients = []
+
+        def come() -> None:
+            for _ in range(40):  # more than are taken in one go
+                clients.append(Plain(w.node.address))
+                clients[-1].send(*kind)
+
+        before(w.node.callers, "close", come)
+        w.node.stop.set()
+        await w.task
+        assert all([await status(c) in (200, 503) for c in clients]) and len(clients) == 40
+
+    with_node(test, settings=QUICK)
+
+
+@every_kind
+@pytest.mark.parametrize("group", ["silent", "resting", "half a head"])
+def test_a_request_that_crosses_a_sweep(kind, group, monkeypatch):
+    monkeypatch.setattr(callers, "RESTING", 300_000)
+    monkeypatch.setattr(callers, "OWED", 300_000)
+    monkeypatch.setattr(caller, "OWED", 300_000)
+
+    async def test(w: World) -> None:
+        for origin in w.origins:
+            origin.answer_all()
+        if group == "resting":
+            client = await served(w)
+        else:
+            client = Plain(w.node.address)
+            await taken(w, 1)
+        if group == "half a head":
+            whole = []
+            client.sock, real = type("Half", (), {"sendall": whole.append})(), client.sock
+            client.send(*kind)
+            client.sock = real
+            client.sock.sendall(whole[0][:20])
+            send = lambda: client.sock.sendall(whole[0][20:])  # noqa: E731
+        else:
+            send = lambda: client.send(*kind)  # noqa: E731
+        (one,) = w.node.callers.open
+        groups = w.node.callers
+        old = lambda: groups.loop.time() > began + 0.35  # noqa: E731
+        began = groups.loop.time()
+        before(groups, "sweep", send, old)
+        real_tick = w.node.sweep
+        while not old():
+            await turns(2)
+            for held in (groups.silent, groups.owing, groups.resting):
+                if one in held:  # not swept before the crossing
+                    held[one] = max(held[one], int((groups.loop.time() - 0.2) * 1e6))
+        for held in (groups.silent, groups.owing, groups.resting):
+            if one in held:
+                held[one] -= 10_000_000
+        real_tick()
+        assert await status(client) == 200
+
+    with_node(test)
+
+
+@every_kind
+def test_a_request_that_crosses_the_search_for_room(kind):
+    async def test(w: World) -> None:
+        for origin in w.origins:
+            origin.answer_all()
+        client, other = await served(w), await served(w)
+        client.send(*kind)
+        assert w.node.callers.make_room()  # the oldest at rest, were it not for what lies on it
+        assert await status(client) == 200
+        assert await status(other) == 0
+
+    with_node(test)
+
+
+@every_kind
+@pytest.mark.parametrize("what", ["a connect is pending", "a repeat is due", "its server hangs"])
+def test_a_stop_with_a_request_in_the_middle_of_it_answers_in_time(kind, what, monkeypatch):
+    """Late for the kill, it is answered before it; nothing is written for it after its answer."""
+    monkeypatch.setattr(stopping, "COUNTED", 0.0)
+
+    async def test(w: World) -> None:
+        client = Plain(w.node.address)
+        await taken(w, 1)
+        held = HeldConnects(w.node.servers)
+        w.node.stop.set()
+        await turns()
+        client.send(*kind)
+        await held.begun.get()
+        if what != "a connect is pending":
+            held.release()
+            at = await w.origins[0].arrived.get()
+        if what == "a repeat is due":
+            held.hold()
+            at.answer(503, extra=b"X-Not-Processed: 1\r\nConnection: close\r\n")
+            await turns()
+        answered = await status(client)
+        assert answered in (502, 503)
+        held.release()
+        await w.task
+        assert w.origins[0].arrived.empty()
+
+    with_node(test, settings={**QUICK, **allowing(False)})
+
+
+def test_a_caller_that_resets_while_a_stop_looks_for_it_holds_nothing_up():
+    async def test(w: World) -> None:
+        client = Plain(w.node.address)
+        await taken(w, 1)
+
+        def reset() -> None:
+            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            client.leave()
+
+        before(w.node.callers, "busy", reset)
+        w.node.stop.set()
+        await w.task
+
+    with_node(test, settings=QUICK)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -32,7 +32,7 @@
     with_node,
 )
 
-from harecross.core import asking, stopping
+from harecross.core import asking, servers, stopping
 from harecross.core.answers import Answer, read_report, report_places
 from harecross.core.discovery import Directory
 from harecross.core.host import Request
@@ -54,6 +54,15 @@
 # ---- serving ------------------------------------------------------------------------------------------
 
 
+@pytest.fixture
+def _no_rest(monkeypatch):
+    monkeypatch.setattr(servers, "REST_MOST", 0)
+
+
+# Which connection comes next is asked right after an answer; how long one rests is in test_crossings_servers.py.
+no_rest = pytest.mark.usefixtures("_no_rest")
+
+
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back():
     async def test(w: World) -> None:
         client = await w.client()
@@ -78,6 +87,7 @@
     with_node(test)
 
 
+@no_rest
 def test_a_request_in_single_bytes_and_two_at_once():
     async def test(w: World) -> None:
         client = await w.client()
@@ -309,6 +319,7 @@
 # ---- outcomes -----------------------------------------------------------------------------------------
 
 
+@no_rest
 def test_a_kept_connection_that_breaks_under_a_request_may_have_run():
     """It looks like a connection that never came up; sent again, the request could run twice."""
 
@@ -385,6 +396,7 @@
 
 
 @pytest.mark.parametrize("name", EXTRA)
+@no_rest
 def test_a_good_answer_counts_whatever_comes_with_it(name):
     async def test(w: World) -> None:
         client = await w.client()
@@ -491,6 +503,7 @@
     with_node(test)
 
 
+@no_rest
 def test_the_connection_used_last_is_used_first():
     async def test(w: World) -> None:
         clients = [await w.client() for _ in "ab"]
