--- a/tests/test_values.py
+++ b/tests/test_values.py
@@ -174,13 +174,13 @@
 
     async def test(w: World) -> None:
         _, watch = await w.catalog.watches.get()
-        changes = (update(n, entry("s0", w.origins[0].address)) for n in range(42, 92))
+        changes = (update(n, entry("s0", w.origins[0].address)) for n in range(42, 132))
         text = b"".join(json.dumps(change).encode() + b"\n" for change in changes)
-        piece = len(text) // 50
+        piece = len(text) // 90
         watch.write(b"%x\r\n%s\r\n" % (piece // 2, text[: piece // 2]))
         for at in range(piece // 2, len(text) - piece, piece):
             watch.write(b"%x\r\n%s\r\n" % (piece, text[at : at + piece]))
             await asyncio.sleep(0.02)
-        assert w.node.discovery.current.generation > 80 and w.catalog.watches.empty()
+        assert w.node.discovery.current.generation > 120 and w.catalog.watches.empty()
 
     with_node(test)
