Failed accepts, socket options and local shortages lose no request and blame no server

Change: core/system_errors.py says what each errno means; core/listener.py takes connections for callers and the operators' door, pauses 5 ms after eight failures in a row, goes on past a connection that is gone, and tries again to set one up. A stop goes on taking while anything waits. A connect that fails for a shortage of this machine's own ends as NOT_SENT. A receive buffer that cannot be set is left as it is.

The door used the loop's own server; that it stays open after ENOBUFS is tested now, it was not shown to fail before.

--- /dev/null
+++ b/harecross/core/listener.py
@@ -0,0 +1,114 @@
+"""A listening socket: connections are taken one by one, and no failure of a system call costs another one its place.
+
+The event loop's own server closes its listener for good where accept(2) fails with ENOBUFS, and takes connections only
+to close them where descriptors run out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+from harecross.core.host import say
+from harecross.core.system_errors import AcceptFailure, accept_failure
+
+SHORTAGE_TRIES = 8  # in a row where this machine is short of something...
+SHORTAGE_PAUSE = 0.005  # ...and seconds until the next ones
+WELCOME_TRIES = 200  # of setting up one connection, each `SHORTAGE_PAUSE` after the one before
+
+
+class Listener:
+    """One listening socket. `ready` is called when connections wait, and takes them with `take`.
+
+    After a shortage it is called again by itself.
+    """
+
+    def __init__(
+        self, sock: socket.socket, protocol: Callable[[], asyncio.Protocol], ready: Callable[[], object]
+    ) -> None:
+        """`sock` is bound and listens; `protocol` makes one for each connection."""
+        sock.setblocking(False)
+        self.loop = asyncio.get_running_loop()
+        self.sock = sock
+        self.protocol = protocol
+        self.ready = ready
+        self.dropped: Callable[[], None] = lambda: None  # a connection that was taken came to nothing
+        self.tasks: set[asyncio.Task[None]] = set()  # connections that are being set up
+        self.resuming: asyncio.TimerHandle | None = None
+        self.short = False  # this machine is: said once in the log
+
+    def start(self) -> None:
+        """Takes connections from now on."""
+        self.resuming = None
+        if self.sock.fileno() >= 0:
+            self.loop.add_reader(self.sock, self.ready)
+
+    def pause(self, seconds: float) -> None:
+        """Leaves what comes in the backlog for so long."""
+        self.stop()
+        self.resuming = self.loop.call_later(seconds, self.start)
+
+    def stop(self) -> None:
+        """Takes no more until `start`. Connections that come wait in the backlog."""
+        if self.resuming is not None:
+            self.resuming.cancel()
+            self.resuming = None
+        if self.sock.fileno() >= 0:
+            self.loop.remove_reader(self.sock)
+
+    def take(self) -> socket.socket | AcceptFailure:
+        """The next connection that waits.
+
+        Guards against: while the machine is short of something the loop calls again and again, and does nothing else.
+        """
+        for _ in range(SHORTAGE_TRIES):
+            try:
+                connection, _ = self.sock.accept()
+            except OSError as error:
+                failure = accept_failure(error)
+                if failure is not AcceptFailure.SHORTAGE:
+                    return failure
+                last = error
+                continue
+            self.note_shortage(None)
+            return connection
+        self.note_shortage(last)
+        self.pause(SHORTAGE_PAUSE)
+        return AcceptFailure.SHORTAGE
+
+    def note_shortage(self, error: OSError | None) -> None:
+        """Says in the log that a shortage has begun, or that it is over."""
+        if self.short != (error is not None):
+            self.short = error is not None
+            say(f"connections wait: {error.strerror}" if error else "connections are taken again")
+
+    def welcome(self, connection: socket.socket) -> None:
+        """Hands a connection to its protocol."""
+        connection.setblocking(False)
+        task = self.loop.create_task(self.set_up(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def set_up(self, connection: socket.socket) -> None:
+        """Guards against: a socket option that cannot be set at this moment costs the client its connection."""
+        with suppress(OSError):
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for _ in range(WELCOME_TRIES):
+            try:
+                await self.loop.connect_accepted_socket(self.protocol, connection)
+                return
+            except OSError as error:
+                failed = error
+            await asyncio.sleep(SHORTAGE_PAUSE)
+        say(f"a connection could not be set up: {failed.strerror}")
+        connection.close()
+        self.dropped()
+
+    async def close(self) -> None:
+        """Closes the socket, and waits for connections that are being set up."""
+        self.stop()
+        self.sock.close()
+        if self.tasks:
+            await asyncio.wait(self.tasks)
--- a/harecross/core/servers.py
+++ b/harecross/core/servers.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from time import monotonic_ns
 from typing import cast
 
@@ -16,6 +17,7 @@
 from harecross.core.presence import is_quiet
 from harecross.core.requests import HOST
 from harecross.core.room import Room
+from harecross.core.system_errors import is_local_shortage
 from harecross.interface import Outcome
 
 IDLE_MARGIN = 1_500_000  # an idle connection is dropped so long before the server would close it
@@ -232,7 +234,8 @@
         if self.transport is not None and size != self.buffer:
             self.buffer = size
             sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            with suppress(OSError):  # the kernel's own size serves as well
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
     def hold(self, on: bool) -> None:
         """Reads no more of the answer for now, or goes on."""
@@ -511,13 +514,15 @@
         )
         try:
             await self.loop.create_connection(lambda: conn, target.host, target.port)
-        except (OSError, asyncio.CancelledError):
+        except (OSError, asyncio.CancelledError) as error:
             if conn.transport is not None:
                 conn.discard()
             else:
                 self.room.servers -= 1
                 target.links -= 1
-            self.end(exchange, Outcome.CONNECT_FAILED)
+            # Guards against: a server is blamed, and put out, for a shortage of this machine's own.
+            blameless = isinstance(error, OSError) and is_local_shortage(error)
+            self.end(exchange, Outcome.NOT_SENT if blameless else Outcome.CONNECT_FAILED)
             return
         finally:
             limit.cancel()
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import socket
+from enum import Enum
 
 from harecross.core.host import Host
+from harecross.core.listener import Listener
 from harecross.core.requests import Reader
 from harecross.core.room import Room
 from harecross.core.servers import clock
+from harecross.core.system_errors import AcceptFailure
 from harecross.node.caller import OWED, Caller
 
 LAGGING = 10_000_000  # a caller that takes nothing of a large answer for so long is put out
@@ -22,6 +25,14 @@
 LINGER = 1_000_000  # a connection that ends may take so long over it
 
 
+class Backlog(Enum):
+    """What is left of the connections that had come."""
+
+    EMPTY = "none waits"
+    MORE = "another may wait"
+    WAITS = "what waits goes on waiting: there is no room, or this machine is short of something"
+
+
 def taken(group: dict[Caller, int], time: int) -> list[Caller]:
     """Takes out those that have been there since before `time`; the oldest stand first."""
     old = []
@@ -62,78 +73,67 @@
         self.leaving = False  # connections close after what is on them
         self.standing_by = False
         self.stood_at = 0
-        self.sock: socket.socket | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.listener: Listener | None = None
 
     # ---- the listener ---------------------------------------------------------------------------------
 
     def listen(self, sock: socket.socket, backlog: int) -> None:
         """Connections may come; they are taken once `begin` says so."""
-        sock.setblocking(False)
         if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
             sock.listen(backlog)
-        self.sock = sock
+        self.listener = Listener(sock, lambda: Caller(self), self.accept)
+        self.listener.dropped = self.dropped
 
     def begin(self) -> None:
         """Takes connections from now on."""
-        assert self.sock is not None
-        self.loop.add_reader(self.sock, self.accept)
+        assert self.listener is not None
+        self.listener.start()
 
-    def accept(self, most: int = ACCEPTS) -> bool:
-        """Takes connections that have come; whether there may be more.
+    def accept(self) -> Backlog:
+        """Takes connections that have come.
 
         Guards against: callers that only ever open connections take the last descriptor, and then neither a
         server nor a usual caller can be reached. Beyond the bound a connection is closed at no further cost.
         """
-        assert self.sock is not None
-        for taken_now in range(most):
+        assert self.listener is not None
+        for taken_now in range(ACCEPTS):
             fits = self.room.caller_fits()
             if not fits and taken_now:
-                return (
-                    True  # the loop says whether another waits: nobody is put out for one that does not come
-                )
+                # The loop says whether another waits: nobody is put out for one that does not come.
+                return Backlog.MORE
             fits = fits or self.make_room()
             if fits:
                 self.short_since = None
             elif self.waits():
-                return False
-            try:
-                conn, _ = self.sock.accept()
-            except OSError:
-                return False
+                return Backlog.WAITS
+            connection = self.listener.take()
+            if connection is AcceptFailure.CONNECTION_GONE:
+                continue
+            if connection is AcceptFailure.SHORTAGE:
+                return Backlog.WAITS
+            if isinstance(connection, AcceptFailure):
+                return Backlog.EMPTY
             if not fits:
                 self.turned_away += 1
-                conn.close()
+                connection.close()
                 continue
             self.room.callers += 1
-            conn.setblocking(False)
-            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            task = self.loop.create_task(self.welcome(conn))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-        return True
+            self.listener.welcome(connection)
+        return Backlog.MORE
 
     def waits(self) -> bool:
         """Leaves what has come in the backlog for a moment; False once that has lasted."""
         now = clock()
         if self.short_since is None:
             self.short_since = now
-        if self.leaving or now - self.short_since > QUEUED or self.sock is None:
+        if self.leaving or now - self.short_since > QUEUED or self.listener is None:
             return False
-        self.loop.remove_reader(self.sock)
-        self.loop.call_later(LOOK_AGAIN, self.look_again)
+        self.listener.pause(LOOK_AGAIN)
         return True
 
-    def look_again(self) -> None:
-        if self.sock is not None and self.sock.fileno() >= 0:
-            self.loop.add_reader(self.sock, self.accept)
-
-    async def welcome(self, conn: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(lambda: Caller(self), conn)
-        except OSError:
-            self.room.callers -= 1
-            conn.close()
+    def dropped(self) -> None:
+        """A connection could not be set up: its place is free."""
+        self.room.callers -= 1
 
     def make_room(self) -> bool:
         """Puts out who holds a connection and nothing else: those that never spoke before those served.
@@ -161,32 +161,24 @@
             caller.transport.abort()
         return True
 
-    async def close(self) -> None:
-        """Closes the listener.
+    async def close(self, by: float) -> None:
+        """Closes the listener, once nothing waits any more; `by` that time of the loop at the latest.
 
         Guards against: closing it resets what waits in its backlog, and a request that a caller has written
         to such a connection counts as taken.
         """
-        assert self.sock is not None
-        self.loop.remove_reader(self.sock)
-        while self.accept():
-            await asyncio.sleep(0)
-        await self.let_go()
-
-    async def let_go(self) -> None:
-        """Closes the socket, and waits for connections that are being taken."""
-        assert self.sock is not None
-        self.loop.remove_reader(self.sock)  # a look for room may have put it back
-        self.sock.close()
-        if self.tasks:
-            await asyncio.wait(self.tasks)
+        assert self.listener is not None
+        self.listener.stop()
+        while (backlog := self.accept()) is not Backlog.EMPTY and self.loop.time() < by:
+            self.listener.stop()
+            await asyncio.sleep(0 if backlog is Backlog.MORE else LOOK_AGAIN)
+        await self.listener.close()
 
     async def hand_over(self) -> None:
         """Takes no more: what waits on the listening socket is for the process that shares it."""
-        assert self.sock is not None
-        self.loop.remove_reader(self.sock)
+        assert self.listener is not None
         self.leaving = True
-        await self.let_go()
+        await self.listener.close()
 
     def stand(self, by: bool) -> None:
         """Sends clients away, or takes them again.
--- a/harecross/node/door.py
+++ b/harecross/node/door.py
@@ -9,9 +9,12 @@
 from httptools import HttpParserError, HttpRequestParser
 
 from harecross.core.host import guard, say
+from harecross.core.listener import Listener
+from harecross.core.system_errors import AcceptFailure
 from harecross.node.config import bound_socket
 
 ROOM = 8  # connections at once
+BACKLOG = 100  # connections that wait to be taken
 PATIENCE = 2.0  # seconds for a call to come whole
 CALL_MOST = 1 << 13  # bytes of a call
 TEXTS = {
@@ -95,18 +98,27 @@
         self.loop = asyncio.get_running_loop()
         self.calls = calls
         self.open: dict[Caller, None] = {}  # the oldest first
-        self.server: asyncio.Server | None = None
+        self.listener: Listener | None = None
         self.address: tuple[str, int] = ("", 0)
 
     async def listen(self, host: str, port: int) -> None:
         """OSError where the address is not to be had."""
         sock = bound_socket((host, port))
-        self.server = await self.loop.create_server(lambda: Caller(self), sock=sock)
+        sock.listen(BACKLOG)
+        self.listener = Listener(sock, lambda: Caller(self), self.accept)
+        self.listener.start()
         self.address = sock.getsockname()
 
+    def accept(self) -> None:
+        assert self.listener is not None
+        connection = self.listener.take()
+        if not isinstance(connection, AcceptFailure):
+            self.listener.welcome(connection)
+
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        if self.listener is not None:
+            self.listener.stop()
+            self.listener.sock.close()
         for caller in list(self.open):
             if caller.transport is not None:
                 caller.transport.close()
--- /dev/null
+++ b/harecross/soak/shim.py
@@ -0,0 +1,69 @@
+"""The fault shim (`faults.c`): rules for system calls that fail, and its build where there is a C compiler."""
+
+from __future__ import annotations
+
+import errno
+import os
+import shutil
+import subprocess
+import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+from typing import NamedTuple
+
+SOURCE = Path(__file__).with_name("faults.c")
+CUT = -1  # in the place of an errno: the call moves a few bytes only
+
+
+class CallFault(NamedTuple):
+    """A system call that fails with `error`, with that probability, between two times after the process started.
+
+    `call` is one of accept, socket, connect, setsockopt, read, write, fsync, write_file. Times in seconds.
+    """
+
+    call: str
+    error: int
+    probability: float
+    start: float
+    end: float
+
+    @property
+    def name(self) -> str:
+        """For a report: the call and the name of its errno."""
+        how = "cut short" if self.error == CUT else errno.errorcode[self.error]
+        return f"{self.call} {how} {self.probability:g} from {self.start:g} to {self.end:g} s"
+
+
+class ClockStep(NamedTuple):
+    """The wall clock is set forward or back, both in seconds; `at` counts from the process's start."""
+
+    at: float
+    seconds: float
+
+
+def compiler() -> str | None:
+    """The C compiler of this machine, if it has one."""
+    return shutil.which("cc") or shutil.which("gcc")
+
+
+def build(folder: Path | None = None) -> Path | None:
+    """The compiled shim, None where it cannot be built. `folder` is a temporary one of its own by default."""
+    command = compiler()
+    if command is None or not os.path.exists("/proc/self/fd"):
+        return None
+    target = (folder or Path(tempfile.mkdtemp(prefix="harecross-shim-"))) / "faults.so"
+    built = subprocess.run(
+        [command, "-O1", "-shared", "-fPIC", "-o", str(target), str(SOURCE), "-ldl", "-lpthread"],
+        capture_output=True,
+        text=True,
+    )
+    return target if built.returncode == 0 else None
+
+
+def environment(
+    shim: Path, seed: int, calls: Iterable[CallFault] = (), clock: Iterable[ClockStep] = ()
+) -> dict[str, str]:
+    """What the process that is to have these faults finds in its environment."""
+    rules = ";".join(f"{c.call} {c.error} {c.probability} {c.start} {c.end}" for c in calls)
+    steps = ";".join(f"{s.at} {s.seconds}" for s in clock)
+    return {"LD_PRELOAD": str(shim), "FAULT_SEED": str(seed), "FAULT_RULES": rules, "FAULT_CLOCK": steps}
--- a/harecross/standins/cluster.py
+++ b/harecross/standins/cluster.py
@@ -58,8 +58,12 @@
 class NodeProcess:
     """One real node. `stats` holds what its latest line on how things stand said."""
 
-    def __init__(self, name: str, folder: Path, config: dict[str, Any]) -> None:
+    def __init__(
+        self, name: str, folder: Path, config: dict[str, Any], environment: dict[str, str] | None = None
+    ) -> None:
+        """`environment` is added to that of this process."""
         self.name = name
+        self.environment = environment or {}
         self.path = folder / f"{name}.json"
         self.config = config
         self.process: asyncio.subprocess.Process | None = None
@@ -76,7 +80,7 @@
     async def start(self, operators: Path | None) -> None:
         self.path.write_text(json.dumps(self.config))
         env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
-        env["LB_CONFIG"] = str(self.path)
+        env |= {"LB_CONFIG": str(self.path), **self.environment}
         if operators is not None:
             env["HARECROSS_CONFIG"] = str(operators)
         self.process = await asyncio.create_subprocess_exec(
--- a/tests/test_crossings_stop.py
+++ b/tests/test_crossings_stop.py
@@ -43,11 +43,11 @@
     """Does `what` once, right before that call, in the same turn of the loop."""
     real, done = getattr(owner, name), []
 
-    def call(*args):
+    def call(*args, **named):
         if not done and when():
             done.append(1)
             what()
-        return real(*args)
+        return real(*args, **named)
 
     setattr(owner, name, call)
 
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,244 @@
+"""System calls of a real node process that fail as Linux documents, by the project's own shim."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from harecross.soak.shim import CUT, CallFault, build, environment
+from harecross.standins.cluster import NodeProcess
+from harecross.standins.discovery import Catalog
+from harecross.standins.http import answer, read_message
+from tests.node_support import Client, Origin, config_of, entry, run
+
+ALWAYS = 1000.0  # seconds
+DEADLINE = 1_000_000  # microseconds
+
+
+@pytest.fixture(scope="session")
+def shim(tmp_path_factory) -> Path:
+    built = build(tmp_path_factory.mktemp("shim"))
+    if built is None:
+        pytest.skip("no C compiler here: the fault shim cannot be built")
+    return built
+
+
+class ClosingOrigin(Origin):
+    """A server that closes its connection after each answer, if it is told to."""
+
+    closes = False
+
+    async def serve(self, reader, writer) -> None:
+        try:
+            while True:
+                await read_message(reader)
+                writer.write(answer(200, b"ok", b"Connection: close\r\n" if self.closes else b""))
+                if self.closes:
+                    writer.close()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class FaultyNode:
+    """One node process under the shim, three servers and a discovery."""
+
+    def __init__(self, node: NodeProcess, origins: list[ClosingOrigin], catalog: Catalog) -> None:
+        self.node, self.origins, self.catalog = node, origins, catalog
+
+    @property
+    def pid(self) -> int:
+        assert self.node.process is not None
+        return self.node.process.pid
+
+    async def request(self, connection: Client | None = None) -> int | None:
+        """The status of one request on a new connection; None if it was not taken; ConnectionError if it was lost."""
+        try:
+            client = connection or await Client.open(self.node.address)
+        except ConnectionRefusedError:
+            return None
+        client.send("/put/1", key="k", left="900m")
+        async with asyncio.timeout(5):
+            status = (await client.answer())[0]
+        if connection is None:
+            client.writer.close()
+        return status
+
+    def processor_seconds(self) -> float:
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / 100
+
+    def tracebacks(self) -> list[str]:
+        return [text for text in self.node.said if "Traceback" in text]
+
+
+@asynccontextmanager
+async def faulty_node(
+    folder: Path, shim: Path, *faults: CallFault, seed: int = 1, **more: str
+) -> AsyncIterator[FaultyNode]:
+    origins = [await ClosingOrigin().start() for _ in range(3)]
+    catalog = await Catalog().start()
+    catalog.put(*(entry(f"s{i}", o.address) for i, o in enumerate(origins)))
+    classes = [
+        {
+            "name": "put",
+            "effect": "guarded",
+            "goal_time": DEADLINE,
+            "hard_limit": DEADLINE,
+            "worth": 1,
+            "window": DEADLINE,
+        }
+    ]
+    config = config_of(
+        catalog.address, {"classes": classes}, limits={"sockets": 1024}, known=catalog.whole(), **more
+    )
+    node = NodeProcess("n0", folder, config, environment(shim, seed, faults))
+    try:
+        await node.start(None)
+        yield FaultyNode(node, origins, catalog)
+    finally:
+        await node.end()
+        await catalog.stop()
+
+
+ABORTS = [errno.ECONNABORTED, errno.EPROTO, errno.EPERM]
+SHORTAGES = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM]
+
+
+@pytest.mark.parametrize("error", ABORTS + SHORTAGES, ids=errno.errorcode.get)
+def test_an_accept_that_fails_while_the_node_stops_resets_nobody_in_the_backlog(error, shim, tmp_path):
+    async def test() -> None:
+        async with faulty_node(tmp_path, shim, CallFault("accept", error, 0.8, 0, ALWAYS)) as world:
+            lost, answered = [], []
+
+            async def one() -> None:
+                try:
+                    status = await world.request()
+                except (ConnectionError, asyncio.IncompleteReadError) as e:
+                    lost.append(e)
+                else:
+                    answered.append(status)
+
+            tasks = [asyncio.create_task(one())]
+            world.node.signal(signal.SIGTERM)
+            process = world.node.process
+            assert process is not None
+            while process.returncode is None and None not in answered:
+                tasks += [asyncio.create_task(one()) for _ in range(8)]
+                await asyncio.sleep(0.01)
+            await asyncio.gather(*tasks)
+            assert not lost, f"{len(lost)} of {len(tasks)}: {lost[0]!r}"
+            assert sum(s is not None for s in answered) > 50
+            assert not world.tracebacks()
+
+    run(test())
+
+
+@pytest.mark.parametrize("error", SHORTAGES, ids=errno.errorcode.get)
+def test_a_lack_of_descriptors_at_accept_costs_no_processor_and_open_connections_are_served(
+    error, shim, tmp_path
+):
+    async def test() -> None:
+        # The shortage begins after the start; the connection that is to be served through it is open by then.
+        async with faulty_node(tmp_path, shim, CallFault("accept", error, 1.0, 2.0, 5.0)) as world:
+            connection = await Client.open(world.node.address)
+            assert await world.request(connection) == 200
+            await asyncio.sleep(2.1)
+            waiting = asyncio.create_task(world.request())
+            await asyncio.sleep(0.1)
+            before = world.processor_seconds()
+            for _ in range(10):
+                assert await world.request(connection) == 200
+                await asyncio.sleep(0.1)
+            assert not waiting.done()
+            assert world.processor_seconds() - before < 0.5, "of more than a second"
+            assert await waiting in (200, 503)
+
+    run(test())
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.EINVAL], ids=errno.errorcode.get)
+def test_a_socket_option_that_cannot_be_set_costs_no_client_its_answer(error, shim, tmp_path):
+    async def test() -> None:
+        async with faulty_node(tmp_path, shim, CallFault("setsockopt", error, 0.4, 1.0, ALWAYS)) as world:
+            await asyncio.sleep(1.0)
+            for _ in range(6):
+                answers = await asyncio.gather(*(world.request() for _ in range(40)))
+                assert set(answers) <= {200, 503} and answers.count(200) > 20
+            assert not world.tracebacks()
+
+    run(test())
+
+
+@pytest.mark.parametrize("error", ABORTS + SHORTAGES, ids=errno.errorcode.get)
+def test_the_operators_door_is_open_again_after_accept_has_failed(error, shim, tmp_path):
+    async def status(address: tuple[str, int]) -> bytes:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET /status HTTP/1.1\r\nHost: d\r\n\r\n")
+        async with asyncio.timeout(5):
+            found = await reader.readline()
+        writer.close()
+        return found
+
+    async def test() -> None:
+        fault = CallFault("accept", error, 0.9, 1.0, 2.0)
+        async with faulty_node(tmp_path, shim, fault, admin="127.0.0.1:0") as world:
+            (said,) = [text for text in world.node.said if text.startswith("door: listening on ")]
+            host, _, port = said.rpartition(" ")[2].rpartition(":")
+            await asyncio.sleep(1.0)
+            for _ in range(5):
+                assert (await status((host, int(port)))).startswith(b"HTTP/1.1 200")
+
+    run(test())
+
+
+CONNECT_FAILURES = [  # and whether they tell of this machine, not of the server
+    ("connect", errno.EADDRNOTAVAIL, True),
+    ("connect", errno.ENETUNREACH, True),
+    ("connect", errno.ENOBUFS, True),
+    ("socket", errno.ENFILE, True),
+    ("socket", errno.ENOBUFS, True),
+    ("connect", errno.ETIMEDOUT, False),
+    ("connect", errno.EHOSTUNREACH, False),
+]
+
+
+@pytest.mark.parametrize("call, error, local", CONNECT_FAILURES, ids=lambda v: str(errno.errorcode.get(v, v)))
+def test_a_connection_that_cannot_be_made_loses_nothing_and_no_server_is_put_out_for_this_machine(
+    call, error, local, shim, tmp_path
+):
+    """Servers close after each answer, so that every request needs a new connection; a third of them fail at once."""
+
+    async def test() -> None:
+        async with faulty_node(tmp_path, shim, CallFault(call, error, 0.33, 2.0, 5.0)) as world:
+            for origin in world.origins:
+                origin.closes = True
+            client = await Client.open(world.node.address)
+            answers = []
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            while loop.time() < began + 5.0:
+                answers.append(await world.request(client))
+                await asyncio.sleep(0.01)
+            assert set(answers) <= {200, 503} and answers.count(200) > 0.9 * len(answers), answers.count(200)
+            assert not local or not any("eject" in text for text in world.node.said), world.node.said
+            assert not world.tracebacks()
+
+    run(test())
+
+
+@pytest.mark.parametrize("call", ["read", "write"])
+def test_short_reads_and_writes_change_nothing(call, shim, tmp_path):
+    async def test() -> None:
+        async with faulty_node(tmp_path, shim, CallFault(call, CUT, 0.5, 0, ALWAYS)) as world:
+            client = await Client.open(world.node.address)
+            for _ in range(100):
+                assert await world.request(client) == 200
+
+    run(test())
