Slow start by what was seen, not by the wall clock; what operators were told is synced

Confirmed by tests first: a node whose wall clock is an hour off took a server that joins for warm (an hour ahead) or cold for an hour (an hour behind); what was learned was thrown away after a step of the wall clock; what an operator was promised was renamed without a sync, and a write that failed with ENOSPC left its part on the disk.

Change: core/births.py bounds the wall clock's evidence: nobody starts in the future, and a process that appears after lists without it started no earlier than the last of them. A process recalled after a drain keeps its time. Of the first list's processes the wall clock stays the only evidence. What was learned carries a monotonic time. core/durable.py replaces a file with syncs of file and folder, for the operators' state and the sources' kept sets (the same lines stood in sources/keep.py); where only the folder cannot be synced the operator is told that a crash may undo it.

test_node: a restarted process is cold whatever start its line tells, so its first request may be refused; the test now asks until it arrives. test_memory: freshness is by monotonic time; the test steps the file's time by an hour either way.

--- a/harecross/core/directory.py
+++ b/harecross/core/directory.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import Any, NamedTuple, Protocol
 
+from harecross.core.births import LONG_AGO, Births
 from harecross.core.host import Host, say
 from harecross.core.servers import Servers, clock
 from harecross.interface import ListKind, ServerEntry, State
@@ -76,8 +77,7 @@
         self.heard: Callable[[Any, bool, bool], None] | None = (
             None  # each update, whether full, whether cached
         )
-        # Fixed once: the module takes any other start time for another process.
-        self.unix_offset = time.time_ns() // 1000 - clock()
+        self.births = Births(time.time_ns() // 1000 - clock())
 
     def reached(self, good: bool) -> None:
         """The only source there is: its last list holds however old it is."""
@@ -143,7 +143,7 @@
             zone=self.zones.place(str(item.get("zone", ""))),
             kind=self.kinds.place(str(item.get("machineType", ""))),
             weight=float(item.get("weight", 1.0)) if self.weighted else 1.0,
-            ready_at=max(1, started * 1000 - self.unix_offset) if started > 0 else 0,
+            ready_at=self.births.ready_at(name, started, clock()) if started > 0 else LONG_AGO,
         )
         listed = Listed(entry, address, started)
         if name in self.out:
--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -13,6 +13,7 @@
 from harecross.core.host import say
 from harecross.core.process_lines import describe
 from harecross.core.process_table import Outcome, ProcessTable, Source
+from harecross.core.servers import clock
 from harecross.core.watch import Watch
 from harecross.interface import ListKind
 
@@ -37,7 +38,7 @@
         terms: Terms = PUSHED,
         lists: Lists | None = None,
         seed: int = 0,
-        clock: Callable[[], float] = time.monotonic,
+        monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.directory = directory
@@ -46,7 +47,7 @@
         self.terms = terms
         self.asked = terms.asked
         self.rng = Random(seed)
-        self.clock = clock
+        self.monotonic = monotonic
         self.asking = Asking(terms, self.rng)
         self.generation: int | None = 0
         self.lineage = 0  # counts the moves
@@ -65,7 +66,7 @@
 
     def begin(self, known: Any) -> None:
         """The list of the configuration, as it was once told at the same address. ValueError if it is none."""
-        self.table.receive(self.clock(), self.sources[0], known, whole=True)
+        self.table.receive(self.monotonic(), self.sources[0], known, whole=True)
         self.lists.apply(known, cached=True)
         generation = known.get("generation")
         if isinstance(generation, int):
@@ -98,7 +99,7 @@
             self.lineage = self.current.lineage
             return True  # back before the other one had come up
         self.lineage = max(self.lineage, *self.sources) + 1
-        self.moved_at = self.clock()
+        self.moved_at = self.monotonic()
         if self.current is None:
             self.generation = None
         else:
@@ -110,7 +111,7 @@
 
     def received(self, watch: Watch, update: Any, whole: bool, anew: bool) -> None:
         """A list or change. ValueError if it is neither."""
-        now = self.clock()
+        now = self.monotonic()
         new = watch.lineage not in self.sources
         source = self.source_of(watch, anew, now)
         outcome = self.table.receive(now, source, update, whole or anew)
@@ -120,6 +121,7 @@
         else:
             self.lists.apply(outcome.update, full=whole)
             self.settled(watch)
+        self.heard_all(watch)
         self.log(watch, update.get("generation"), outcome, now)
         if new and (held := self.table.held()):
             say(f"discovery: {watch.place} has not heard of {len(held)} that leave")
@@ -129,14 +131,20 @@
         """There is nothing newer than what the watch has brought."""
         if watch is not self.current:
             return
-        now = self.clock()
+        now = self.monotonic()
         outcome = self.table.spoke(now, self.sources[watch.lineage])
         if outcome.update["instances"]:
             self.lists.apply(outcome.update)
+        self.heard_all(watch)
         self.log(watch, watch.generation, outcome, now)
         self.close_former_if_caught_up()
         self.on_word()
 
+    def heard_all(self, watch: Watch) -> None:
+        """What the present discovery lists has been told up to now: what appears later has started later."""
+        if watch is self.current:
+            self.directory.births.listed_all(clock())
+
     def reached(self, watch: Watch, good: bool) -> None:
         """The watch has just spoken, or its connection has ended or come to nothing."""
         if watch not in self.former:
--- a/harecross/node/operations.py
+++ b/harecross/node/operations.py
@@ -10,6 +10,7 @@
 
 from harecross.core import memory
 from harecross.core.directory import Directory
+from harecross.core.durable import UnsyncedReplace
 from harecross.core.host import say
 from harecross.core.maintenance import Held, difference
 from harecross.core.roster import roster
@@ -180,6 +181,10 @@
         """A yes only once it is written: what was promised has to outlive this process."""
         try:
             self.store.change(make)
+        except UnsyncedReplace as e:
+            self.store.look()
+            self.follow()
+            return 500, f"{text} now, but a crash of the machine may undo it: {e.strerror}"
         except OSError as e:
             return 500, f"not changed, it cannot be written: {e.strerror}"
         self.follow()
--- a/harecross/node/store.py
+++ b/harecross/node/store.py
@@ -15,6 +15,7 @@
 from contextlib import contextmanager, suppress
 from pathlib import Path
 
+from harecross.core.durable import replace_file
 from harecross.core.host import say
 from harecross.core.maintenance import Held, from_json
 
@@ -68,9 +69,8 @@
             # Guards against: two processes that change it at once each undo the other's change.
             self.look()
             held = make(self.held)
-            new = self.path.with_suffix(".new")
-            new.write_bytes(held.to_json())
-            os.replace(new, self.path)
+            # Guards against: what an operator was promised is undone by a crash, or by a disk that is full.
+            replace_file(self.path, held.to_json(), self.path.with_suffix(".new"))
             self.look()
 
     # ---- what was learned -----------------------------------------------------------------------------
@@ -80,18 +80,22 @@
         if self.learned is not None:
             new = self.learned.with_suffix(".learning")
             with suppress(OSError):
-                new.write_bytes(text)
+                new.write_bytes(b"%d\n%s" % (time.monotonic_ns(), text))
                 os.replace(new, self.learned)
 
     def read_learned(self) -> bytes | None:
-        """What another process has just written, if there is one."""
+        """What another process has just written, if there is one.
+
+        It lives, so the machine has not started again since: both processes have one monotonic clock.
+        """
         if self.learned is None or not self.others():
             return None
         try:
-            fresh = time.time() - self.learned.stat().st_mtime < LEARNED_FRESH
-            return self.learned.read_bytes() if fresh else None
-        except OSError:
+            written, _, text = self.learned.read_bytes().partition(b"\n")
+            age = (time.monotonic_ns() - int(written)) / 1e9
+        except (OSError, ValueError):
             return None
+        return text if 0 <= age < LEARNED_FRESH else None
 
     # ---- who lives ------------------------------------------------------------------------------------
 
--- a/harecross/sources/keep.py
+++ b/harecross/sources/keep.py
@@ -11,7 +11,9 @@
 from dataclasses import asdict, dataclass
 from hashlib import sha256
 from math import isfinite
+from pathlib import Path
 
+from harecross.core.durable import replace_file
 from harecross.dns.srv import Endpoint, Found
 
 VERSION = b"harecross-sources 1 "
@@ -97,18 +99,4 @@
 def write(path: str, sets: Mapping[str, Kept]) -> None:
     """Puts the sets in the file's place, on disk before it returns. OSError where that cannot be done."""
     fresh = f"{path}.{os.getpid()}.new"  # while a node is replaced two processes write
-    fd = os.open(fresh, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-    try:
-        data = to_bytes(sets)
-        while data:
-            data = data[os.write(fd, data) :]
-        os.fsync(fd)
-    finally:
-        os.close(fd)
-    os.replace(fresh, path)
-    # Without this the new name may not be on disk when the power goes, though the bytes are.
-    folder = os.open(os.path.dirname(os.path.abspath(path)), os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+    replace_file(Path(path), to_bytes(sets), Path(fresh))
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -231,7 +231,7 @@
 
         def process(known: dict | None) -> tuple[Directory, Watch]:
             directory = Directory(host, Servers(1, 1, [], Room(1)), ["here", "there"], ["m1", "m2"])
-            discovery = Discovery(directory, ("d", 1), clock=lambda: now)
+            discovery = Discovery(directory, ("d", 1), monotonic=lambda: now)
             if known is not None:
                 discovery.begin(known)
             discovery.current = watching(discovery, None if known is None else known["generation"])
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import time
 
 import pytest
 from hypothesis import given, settings
@@ -92,14 +93,22 @@
 TEXT = learned(used()[0], NAMES) or b""
 
 
-def test_what_was_learned_is_read_only_while_its_process_lives_and_is_fresh(tmp_path):
+def test_what_was_learned_is_read_only_while_its_process_lives_and_is_fresh(tmp_path, monkeypatch):
     old, new = Store(str(tmp_path), "n0"), Store(str(tmp_path), "n0")
     old.live()
     old.write_learned(b"x")
-    assert new.read_learned() == b"x"
-    past = os.stat(old.learned).st_mtime - LEARNED_FRESH - 1
-    os.utime(old.learned, (past, past))
+    # Its age is of real time: the wall clock may have been set forward or back by an hour meanwhile.
+    for step in (-3600, 0, 3600):
+        stepped = os.stat(old.learned).st_mtime + step
+        os.utime(old.learned, (stepped, stepped))
+        assert new.read_learned() == b"x"
+    real = time.monotonic_ns
+    monkeypatch.setattr(time, "monotonic_ns", lambda: real() + int((LEARNED_FRESH + 1) * 1e9))
     assert new.read_learned() is None
+    monkeypatch.undo()
+    for spoilt in (b"", b"x", b"x\ny"):
+        old.learned.write_bytes(spoilt)
+        assert new.read_learned() is None
     old.write_learned(b"y")
     old.leave()
     assert new.read_learned() is None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -848,8 +848,18 @@
         await client.answer()
         Catalog.push(watch, line(42, entry("s0", origin.address, startedAtMs=1000)))
         assert await origin.closed.get() == 0  # the old process's connection
-        client.send()
-        at = await origin.arrived.get()
+        # The new process is cold, whatever start its line tells: it gets a request in its turn.
+        arrival = asyncio.ensure_future(origin.arrived.get())
+        while not arrival.done():
+            client.send()
+            refusal = asyncio.ensure_future(client.answer())
+            await asyncio.wait([arrival, refusal], return_when=asyncio.FIRST_COMPLETED)
+            if arrival.done():
+                refusal.cancel()
+            else:
+                assert (await refusal)[0] == 503
+                await asyncio.sleep(0.05)
+        at = await arrival
         Catalog.push(watch, line(43, entry("s0", origin.address, "terminating", startedAtMs=1000)))
         while w.node.discovery.current.generation < 43:
             await asyncio.sleep(0)
@@ -963,7 +973,7 @@
     async def test() -> None:
         host, pool = Lists(), Servers(1, 1, [], Room(1))
         directory = Directory(host, pool, ["here", "there"], ["m1", "m2"])
-        now_ms = (clock() + directory.unix_offset) // 1000
+        now_ms = (clock() + directory.births.unix_offset) // 1000
         item = entry("b", "127.0.0.1:1", zone="there", machineType="m2", cell=3, startedAtMs=now_ms - 1000)
         at_2 = entry("c", "127.0.0.1:2")
         item["hostPort"] = "127.0.0.1:3"
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -18,6 +19,7 @@
 from hypothesis import strategies as st
 from node_support import Catalog, Client, Origin, config_of, entry, line, run, until, update
 
+from harecross.core import durable
 from harecross.core.maintenance import Held, difference, from_json
 from harecross.node import callers, door
 from harecross.node.__main__ import Node
@@ -100,6 +102,75 @@
     assert not os.listdir(tmp_path)
 
 
+@pytest.mark.parametrize("call", ["write", "fsync", "replace"])
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO], ids=errno.errorcode.get)
+def test_a_change_that_cannot_be_written_is_not_promised_and_leaves_the_old_state(
+    call, error, tmp_path, monkeypatch
+):
+    store = Store(str(tmp_path), "n0")
+    store.change(lambda held: held.enter("a"))
+    written = []
+
+    def failing(*args):
+        written.append(args)
+        if call == "write" and len(written) == 1:
+            return real(args[0], args[1][:3])  # a part first, as a disk that fills up does
+        raise OSError(error, os.strerror(error))
+
+    real = getattr(os, call)
+    monkeypatch.setattr(os, call, failing)
+    with pytest.raises(OSError, match=os.strerror(error)):
+        store.change(lambda held: held.enter("b"))
+    monkeypatch.undo()
+    assert written and store.held.out == {"a"} and not store.look()
+    after = Store(str(tmp_path), "n0")
+    assert after.look() and after.held.out == {"a"}
+    assert not list(tmp_path.glob("*.new")), "it takes no space for the next try"
+    store.change(lambda held: held.enter("b"))
+    assert after.look() and after.held.out == {"a", "b"}
+
+
+def test_a_kill_at_any_step_of_a_change_leaves_the_old_state_or_the_new_one(tmp_path):
+    """The process is killed in the write, before the sync, before and after the new name."""
+    script = (
+        "import os, signal, sys\n"
+        "from harecross.node.store import Store\n"
+        "store = Store(sys.argv[1], 'n0')\n"
+        "name, half = sys.argv[2], sys.argv[3] == 'half'\n"
+        "real = getattr(os, name)\n"
+        "def kill(*args):\n"
+        "    if half: real(args[0], args[1][:5])\n"
+        "    os.kill(os.getpid(), signal.SIGKILL)\n"
+        "setattr(os, name, kill)\n"
+        "store.change(lambda held: held.enter('b'))\n"
+    )
+    Store(str(tmp_path), "n0").change(lambda held: held.enter("a"))
+    for call, how in (("write", "half"), ("write", ""), ("fsync", ""), ("replace", "")):
+        command = [sys.executable, "-c", script, str(tmp_path), call, how]
+        assert subprocess.run(command, cwd=ROOT).returncode == -signal.SIGKILL
+        store = Store(str(tmp_path), "n0")
+        assert store.look() and store.held.out == {"a"}
+    store.change(lambda held: held.enter("c"))
+    assert store.held.out == {"a", "c"}
+
+
+def test_what_is_written_but_not_synced_is_in_force_and_is_said_to_be_uncertain(tmp_path, monkeypatch):
+    def failing(folder):
+        raise OSError(errno.EIO, os.strerror(errno.EIO))
+
+    async def test(site: Site) -> None:
+        async with site.node() as node:
+            assert (await tell(node, "/maintenance/enter", "s0"))[0] == 200
+            monkeypatch.setattr(durable, "sync_folder", failing)
+            status, text = await tell(node, "/maintenance/exit", "s0")
+            assert status == 500 and b"may undo it" in text
+            assert not node.directory.out and node.operations.store.held.out == frozenset()
+            monkeypatch.undo()
+            assert (await tell(node, "/maintenance/enter", "s0"))[0] == 200
+
+    with_site(test, tmp_path)
+
+
 # ---- a node with a door --------------------------------------------------------------------------------
 
 
@@ -224,7 +295,7 @@
             site.catalog.push(watch, line(42, site.entries[0]))
             await until(lambda: node.discovery.current.generation == 42)
             assert server[number].cold_until == cold
-            started = (node.directory.unix_offset + cold) // 1000
+            started = (node.directory.births.unix_offset + cold) // 1000
             site.catalog.push(watch, line(43, {**site.entries[0], "startedAtMs": started}))
             await until(lambda: node.discovery.current.generation == 43)
             assert server[number].cold_until > cold
