--- a/harecross/standins/cluster.py
+++ b/harecross/standins/cluster.py
@@ -16,6 +16,7 @@
 from harecross.standins.http import read_message
 
 START_WITHIN = 20.0  # seconds
+SAID_MOST = 500  # lines of a node's log that are kept
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None, use_errno=True) if sys.platform == "linux" else None
 
@@ -120,7 +121,7 @@
             elif text.startswith("served="):
                 self.stats = {k: float(v) for k, _, v in (p.partition("=") for p in text.split(" "))}
             else:
-                self.said = [*self.said[-49:], text]
+                self.said = [*self.said[1 - SAID_MOST :], text]
 
     async def wait_healthy(self) -> None:
         while True:
