A request's time counts from when it came, not from when it was read

Shown by tests on a real process: 0.78 s told to a server of a client that had 0.45 s, after the process was held 0.35 s (SIGSTOP), on kept and on new connections; and in the backlog of a node that waits for its first list.

Change: core/read_delay.py: a heartbeat tells how late the event loop is, a listener since when it was not watched, a connection since when its reading was paused. Above 30 ms that is taken off the request's time; TCP_INFO's age of the last bytes can only make it less. What has run out is refused at once.

--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -188,7 +188,7 @@
         self.last_id += 1
         now = clock()
         # Counted from when the message came, not from when its turn on the connection came.
-        until = self.answer_by(message, message.came)
+        until = self.answer_by(message, message.came, message.unread_for)
         r = Request(self.last_id, caller, message, until)
         if self.trace is not None:
             self.trace.taken(r, now)
@@ -211,18 +211,18 @@
         r.fresh = False
         return r
 
-    def answer_by(self, message: Message, came: int) -> int:
-        """When a request that came at that time is to have its answer."""
-        until = came + message.time_left - min(ROOM, message.time_left // ROOM_PART)
+    def answer_by(self, message: Message, came: int, unread_for: int = 0) -> int:
+        """When a request that was read at that time, and may have waited before, is to have its answer."""
+        until = came - unread_for + message.time_left - min(ROOM, message.time_left // ROOM_PART)
         # Guards against: a request taken late in a planned restart is still open when the kill comes.
         return until if self.latest is None or came < self.late_from else min(until, self.latest)
 
-    def body_came(self, r: Request) -> None:
+    def body_came(self, r: Request, unread_for: int = 0) -> None:
         """The last byte of a large body has come: the time to answer it counts from now."""
         if r.caller is None or r.timer is not None:
             return
         now = clock()
-        r.until = self.answer_by(r.message, now)
+        r.until = self.answer_by(r.message, now, unread_for)
         r.timer = self.loop.call_later(max(0, r.until - now) / 1e6, self.overdue, r)
 
     def uploading(self, r: Request, on: bool) -> None:
--- a/harecross/core/listener.py
+++ b/harecross/core/listener.py
@@ -12,6 +12,8 @@
 from contextlib import suppress
 
 from harecross.core.host import say
+from harecross.core.read_delay import Heartbeat, WaitingSocket
+from harecross.core.servers import clock
 from harecross.core.system_errors import AcceptFailure, accept_failure
 
 SHORTAGE_TRIES = 8  # in a row where this machine is short of something...
@@ -26,7 +28,11 @@
     """
 
     def __init__(
-        self, sock: socket.socket, protocol: Callable[[], asyncio.Protocol], ready: Callable[[], object]
+        self,
+        sock: socket.socket,
+        protocol: Callable[[WaitingSocket], asyncio.Protocol],
+        ready: Callable[[], object],
+        heartbeat: Heartbeat | None = None,
     ) -> None:
         """`sock` is bound and listens; `protocol` makes one for each connection."""
         sock.setblocking(False)
@@ -38,12 +44,22 @@
         self.tasks: set[asyncio.Task[None]] = set()  # connections that are being set up
         self.resuming: asyncio.TimerHandle | None = None
         self.short = False  # this machine is: said once in the log
+        self.heartbeat = heartbeat or Heartbeat()
+        # What waits may have come since then, in monotonic microseconds; None while all is taken at once.
+        self.unwatched_since: int | None = clock()
+        self.came_after = 0  # the connection taken last did
 
     def start(self) -> None:
         """Takes connections from now on."""
         self.resuming = None
         if self.sock.fileno() >= 0:
             self.loop.add_reader(self.sock, self.ready)
+            self.loop.call_soon(self.look)
+
+    def look(self) -> None:
+        """What has come while nobody watched is taken now, so that what comes later has not waited."""
+        if self.resuming is None and self.sock.fileno() >= 0:
+            self.ready()
 
     def pause(self, seconds: float) -> None:
         """Leaves what comes in the backlog for so long."""
@@ -55,6 +71,8 @@
         if self.resuming is not None:
             self.resuming.cancel()
             self.resuming = None
+        if self.unwatched_since is None:
+            self.unwatched_since = clock()
         if self.sock.fileno() >= 0:
             self.loop.remove_reader(self.sock)
 
@@ -68,11 +86,16 @@
                 connection, _ = self.sock.accept()
             except OSError as error:
                 failure = accept_failure(error)
+                if failure is AcceptFailure.NONE_WAITS:
+                    self.unwatched_since = None
                 if failure is not AcceptFailure.SHORTAGE:
                     return failure
                 last = error
                 continue
             self.note_shortage(None)
+            now = clock()
+            watched = self.unwatched_since is None
+            self.came_after = now - self.heartbeat.behind(now) if watched else self.unwatched_since or 0
             return connection
         self.note_shortage(last)
         self.pause(SHORTAGE_PAUSE)
@@ -87,17 +110,19 @@
     def welcome(self, connection: socket.socket) -> None:
         """Hands a connection to its protocol."""
         connection.setblocking(False)
-        task = self.loop.create_task(self.set_up(connection))
+        task = self.loop.create_task(self.set_up(connection, self.came_after))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def set_up(self, connection: socket.socket) -> None:
+    async def set_up(self, connection: socket.socket, came_after: int) -> None:
         """Guards against: a socket option that cannot be set at this moment costs the client its connection."""
         with suppress(OSError):
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for _ in range(WELCOME_TRIES):
             try:
-                await self.loop.connect_accepted_socket(self.protocol, connection)
+                await self.loop.connect_accepted_socket(
+                    lambda: self.protocol(WaitingSocket(clock(), came_after)), connection
+                )
                 return
             except OSError as error:
                 failed = error
--- a/harecross/core/requests.py
+++ b/harecross/core/requests.py
@@ -48,6 +48,7 @@
     keep: bool
     upload: Upload | None = None  # in place of `body`
     chunks: bool = True  # its caller can read an answer in chunks
+    unread_for: int = 0  # microseconds that it may have waited before it was read
 
 
 def time_left(text: bytes) -> int | None:
@@ -95,6 +96,7 @@
         now: int,
         upload: Upload | None = None,
         chunks: bool = True,
+        unread_for: int = 0,
     ) -> Message:
         """The whole request, or all but a body that is still on its way. BadRequest for what cannot go on."""
         if PATH.fullmatch(url) is None or DOTS.search(url) is not None:
@@ -148,4 +150,5 @@
             keep=keep,
             upload=upload,
             chunks=chunks,
+            unread_for=unread_for,
         )
--- a/harecross/node/caller.py
+++ b/harecross/node/caller.py
@@ -14,6 +14,7 @@
 from harecross.core.bodies import BODY_LARGEST, BODY_MOST, Upload, too_many
 from harecross.core.host import Request, guard
 from harecross.core.presence import has_left, is_quiet
+from harecross.core.read_delay import InfoSocket, ReadDelay, WaitingSocket
 from harecross.core.requests import HEAD_MOST, HEADERS_MOST, BadRequest, Message
 from harecross.core.servers import clock
 
@@ -75,10 +76,19 @@
         "chunked",
         "ending",
         "descriptor",
+        "sock",
+        "read_delay",
+        "unread_for",
+        "paused_at",
     )
 
-    def __init__(self, front: Callers) -> None:
+    def __init__(self, front: Callers, waiting: WaitingSocket | None = None) -> None:
+        """`waiting`: since when what comes first may have waited."""
         self.front = front
+        self.sock: InfoSocket | None = None
+        self.read_delay = ReadDelay(front.heartbeat, waiting)
+        self.unread_for = 0  # microseconds that what was read last may have waited
+        self.paused_at = 0
         self.descriptor = -1
         self.transport: asyncio.Transport | None = None
         self.parser: HttpRequestParser | None = None
@@ -116,6 +126,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.sock = transport.get_extra_info("socket")
         self.descriptor = transport.get_extra_info("socket").fileno()
         self.parser = HttpRequestParser(self)
         self.front.joined(self)
@@ -139,6 +150,7 @@
                 self.paused = True
                 self.transport.pause_reading()
             return
+        self.unread_for = self.read_delay.of(clock(), self.sock)
         try:
             self.parser.feed_data(data)
         except HttpParserError as e:
@@ -161,9 +173,16 @@
             self.front.owes_nothing(self)
         elif not self.queue:
             return
-        self.paused = True
+        self.paused, self.paused_at = True, clock()
         self.transport.pause_reading()
 
+    def read_on(self) -> None:
+        """Reads again; what has come since the pause has waited."""
+        if self.transport is not None:
+            self.paused = False
+            self.read_delay.waiting = WaitingSocket(clock(), self.paused_at)
+            self.transport.resume_reading()
+
     def pause_writing(self) -> None:
         """Guards against: answers to a caller that reads nothing pile up in memory."""
         self.full = True
@@ -255,10 +274,9 @@
         if self.request is not None:
             self.front.host.upload_grew(self.request)
         if self.paused and not upload.full and not self.closing and not self.queue:
-            self.paused = False
             if self.reading:
                 self.front.owes(self)
-            self.transport.resume_reading()
+            self.read_on()
 
     def on_chunk_header(self) -> None:
         self.chunks += 1
@@ -299,7 +317,7 @@
             upload, self.upload = self.upload, None
             upload.finish()
             if self.sending is upload and self.request is not None:
-                self.front.host.body_came(self.request)
+                self.front.host.body_came(self.request, self.unread_for)
             elif self.sending is not upload and upload.dropped and self.idle():
                 self.front.rests(self)  # answered before it had come
             return
@@ -327,6 +345,7 @@
             clock(),
             upload,
             self.parser.get_http_version() == "1.1",
+            self.unread_for,
         )
 
     # ---- answers --------------------------------------------------------------------------------------
@@ -382,7 +401,7 @@
                 self.request = request
                 if item.upload is not None:
                     if item.upload.complete:
-                        self.front.host.body_came(request)
+                        self.front.host.body_came(request, self.unread_for)
                     self.upload_moved()
 
     def waits(self) -> bool:
@@ -499,8 +518,7 @@
             self.shut()
             return
         if self.paused and not self.queue:
-            self.paused = False
-            transport.resume_reading()
+            self.read_on()
             if self.reading:
                 self.front.owes(self)
         self.go_on()
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -8,6 +8,7 @@
 
 from harecross.core.host import Host
 from harecross.core.listener import Listener
+from harecross.core.read_delay import Heartbeat
 from harecross.core.requests import Reader
 from harecross.core.room import Room
 from harecross.core.servers import clock
@@ -74,6 +75,7 @@
         self.standing_by = False
         self.stood_at = 0
         self.listener: Listener | None = None
+        self.heartbeat = Heartbeat()
 
     # ---- the listener ---------------------------------------------------------------------------------
 
@@ -81,12 +83,13 @@
         """Connections may come; they are taken once `begin` says so."""
         if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
             sock.listen(backlog)
-        self.listener = Listener(sock, lambda: Caller(self), self.accept)
+        self.listener = Listener(sock, lambda waiting: Caller(self, waiting), self.accept, self.heartbeat)
         self.listener.dropped = self.dropped
 
     def begin(self) -> None:
         """Takes connections from now on."""
         assert self.listener is not None
+        self.heartbeat.start()
         self.listener.start()
 
     def accept(self) -> Backlog:
--- a/harecross/node/door.py
+++ b/harecross/node/door.py
@@ -105,7 +105,7 @@
         """OSError where the address is not to be had."""
         sock = bound_socket((host, port))
         sock.listen(BACKLOG)
-        self.listener = Listener(sock, lambda: Caller(self), self.accept)
+        self.listener = Listener(sock, lambda waiting: Caller(self), self.accept)
         self.listener.start()
         self.address = sock.getsockname()
 
--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -15,7 +15,7 @@
 from harecross.soak.oracle import Breach, Oracle
 from harecross.soak.plan import ListChange, NodeEvent, Plan
 from harecross.soak.records import Change, Records, SignalRecord
-from harecross.soak.servers import SoakServer
+from harecross.soak.servers import SoakServer, own_host
 from harecross.soak.shim import environment
 from harecross.standins.cluster import ClusterError, NodeProcess, node_settings
 
@@ -38,7 +38,7 @@
         self.discoveries: list[SoakDiscovery] = []
         self.clients = NodeClients(plan, name, records)
         self.process: NodeProcess | None = None
-        self.listen = "127.0.0.1:0"
+        self.listen = f"{own_host()}:0"
         self.expected_end = False  # what ends the process now is this program's doing
 
     @property
@@ -144,8 +144,8 @@
         """Records an end that nobody asked for."""
         while True:
             process = self.process
-            if process is not None and not process.alive and not self.expected_end:
-                code = process.process.returncode if process.process is not None else None
+            code = process.process.returncode if process is not None and process.process is not None else None
+            if code is not None and not self.expected_end:
                 self.records.crashes.append(
                     SignalRecord(self.life, time.monotonic(), f"ended by itself: {code}")
                 )
--- a/harecross/soak/servers.py
+++ b/harecross/soak/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from random import Random
 from typing import cast
@@ -15,6 +16,11 @@
 UNITS = {b"m": 1e-3, b"u": 1e-6}
 
 
+def own_host() -> str:
+    """A loopback address of this process alone: a port of its own stays its own while nothing listens there."""
+    return f"127.77.{os.getpid() >> 8 & 0xFF}.{os.getpid() & 0xFF or 1}"
+
+
 def seconds_of(text: bytes) -> float:
     """An X-Timeout in seconds; 0 for what is none."""
     unit = UNITS.get(text[-1:])
@@ -36,12 +42,12 @@
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
+        return f"{own_host()}:{self.port}"
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            lambda: Link(self), "127.0.0.1", self.port, reuse_address=True
+            lambda: Link(self), own_host(), self.port, reuse_address=True
         )
         self.port = self.listener.sockets[0].getsockname()[1]
 
--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,146 @@
+"""The time that a server is told is never more than its client has left, however long the node had not read it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+import pytest
+
+from harecross.core.read_delay import Heartbeat, ReadDelay, WaitingSocket
+from harecross.standins.cluster import NodeProcess
+from harecross.standins.discovery import Catalog
+from tests.node_support import STARTED, Client, Origin, chunk, config_of, entry, held_calls, run, update
+
+SLACK = 0.15  # seconds
+HELD = 0.35  # seconds that the process does not run
+MS = 1000
+
+
+def seconds(text: bytes) -> float:
+    assert text.endswith(b"u")
+    return int(text[:-1]) / 1e6
+
+
+@pytest.mark.parametrize("connection", ["kept", "new"])
+def test_a_process_that_was_held_up_passes_on_what_is_left_and_sends_nothing_for_who_has_run_out(
+    connection, tmp_path
+):
+    async def test() -> None:
+        origin, catalog = await Origin().start(), await Catalog().start()
+        catalog.put(entry("s0", origin.address))
+        node = NodeProcess("n0", tmp_path, config_of(catalog.address, known=catalog.whole()))
+        try:
+            await node.start(None)
+            clients = [await Client.open(node.address) for _ in range(2)]
+            for client in clients:
+                client.send("/read/1")
+                (await origin.arrived.get()).answer()
+                assert (await client.answer())[0] == 200
+            node.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.05)
+            if connection == "new":
+                clients = [await Client.open(node.address) for _ in range(2)]
+            sent = time.monotonic()
+            clients[0].send("/read/1", left="800m")
+            clients[1].send("/read/1", left="200m")
+            await asyncio.sleep(HELD)
+            node.signal(signal.SIGCONT)
+            arrived = await origin.arrived.get()
+            left = sent + 0.8 - time.monotonic()
+            assert 0 < seconds(arrived.header(b"X-Timeout")) <= left + 0.03
+            arrived.answer()
+            assert (await clients[0].answer())[0] == 200
+            assert (await clients[1].answer())[0] == 503 and origin.arrived.empty()
+        finally:
+            await node.end()
+
+    run(test())
+
+
+def test_what_waited_in_the_backlog_while_the_node_started_has_so_much_less_time(tmp_path):
+    async def test() -> None:
+        origin = await Origin().start()
+        address, calls = await held_calls()
+        known = update(41, entry("s0", origin.address), reset=True)
+        node = NodeProcess("n0", tmp_path, config_of(address, known=known))
+        starting = asyncio.create_task(node.start(None))
+        try:
+            watch = await calls.get()  # the node listens, and waits for the first word of its list
+            await asyncio.sleep(0.1)
+            client = None
+            for port in listening_ports(node):
+                client = await Client.open(("127.0.0.1", port))
+            assert client is not None
+            sent = time.monotonic()
+            client.send("/read/1", left="900m")
+            await asyncio.sleep(0.25)
+            watch.write(STARTED + chunk(b""))
+            arrived = await origin.arrived.get()
+            assert 0 < seconds(arrived.header(b"X-Timeout")) <= sent + 0.9 - time.monotonic() + 0.05
+            arrived.answer()
+            assert (await client.answer())[0] == 200
+        finally:
+            await starting
+            await node.end()
+
+    run(test())
+
+
+def listening_ports(node: NodeProcess) -> list[int]:
+    """Where the process listens, as the kernel has it."""
+    assert node.process is not None
+    inodes = set()
+    import os
+
+    for name in os.listdir(f"/proc/{node.process.pid}/fd"):
+        target = os.readlink(f"/proc/{node.process.pid}/fd/{name}")
+        if target.startswith("socket:["):
+            inodes.add(target[8:-1])
+    with open("/proc/net/tcp") as table:
+        rows = [line.split() for line in table][1:]
+    return [int(row[1].rpartition(":")[2], 16) for row in rows if row[3] == "0A" and row[9] in inodes]
+
+
+# ---- free of sockets --------------------------------------------------------------------------------------
+
+
+class Kernel:
+    """A socket of which the kernel says how long ago its last bytes came; None where it does not say."""
+
+    def __init__(self, age: int | None) -> None:
+        self.age = age
+
+    def getsockopt(self, level: int, name: int, size: int) -> bytes:
+        if self.age is None:
+            raise OSError
+        return bytes(52) + self.age.to_bytes(4, "little") + bytes(size - 56)
+
+
+@pytest.mark.parametrize(
+    "held, kernel, waited",
+    [
+        (0, 500, 0),
+        (20, 500, 0),
+        (300, None, 300),
+        (300, 0, 10),
+        (300, 120, 130),
+        (300, 9000, 300),
+    ],
+)
+def test_the_loops_own_delay_bounds_what_the_kernel_says(held, kernel, waited):
+    heartbeat = Heartbeat()
+    heartbeat.due = 1_000_000
+    found = ReadDelay(heartbeat).of(1_000_000 + held * MS, Kernel(kernel))
+    assert found == waited * MS
+
+
+def test_a_new_connection_that_speaks_at_once_has_waited_with_its_listener():
+    heartbeat = Heartbeat()
+    heartbeat.due = 10_000_000
+    delay = ReadDelay(heartbeat, WaitingSocket(accepted_at=1_000_000, came_after=600_000))
+    assert delay.of(1_005_000, Kernel(None)) == 405 * MS
+    assert delay.of(1_005_000, Kernel(None)) == 0, "only its first bytes"
+    late = ReadDelay(heartbeat, WaitingSocket(accepted_at=1_000_000, came_after=600_000))
+    assert late.of(1_500_000, Kernel(None)) == 0, "what comes later has not waited"
