--- a/harecross/core/asking.py
+++ b/harecross/core/asking.py
@@ -31,7 +31,9 @@
 QUEUE = 2.5  # a call that is asked waits for its first word for so long; discovery fails it after 2
 STOOD = 1.5  # a call failed after so long has stood in line; sooner, discovery was not there, or took no more calls
 LONG_WAIT = 1.75  # one answered after so long has found the line as long as it may be
-BACKOFF_FIRST, BACKOFF_MOST = 0.05, 0.5  # between calls to an agent
+# Between calls to an agent. What it gets at its return counts as told at once, call or no call: half of the grace may
+# pass before the next call, the other half is for its answer.
+BACKOFF_FIRST, BACKOFF_MOST = 0.05, GRACE / 2
 ANSWER = 0.5  # in line, where calls come no faster than they are worked off
 SLOT = 0.1  # of a round, for each node of the tier, before anything is known of the line
 ROUND = 5.0  # a round at first where the line is long: within it each node asks once
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -13,7 +13,7 @@
 
 from harecross.adapter import ASK_AGAIN, Host
 from harecross.core import asking
-from harecross.core.asking import Asking, End, State, Terms
+from harecross.core.asking import FIRST_WORD, GRACE, Asking, End, State, Terms
 from harecross.fleet.discovery import Desk, Shape
 from harecross.fleet.rehearsal import Day, Rehearsal, bound
 from harecross.fleet.waits import WAITS
@@ -280,3 +280,16 @@
     assert reply[4] == 75 and host.asking[3].calls == 2
     host.batch(1, struct.pack("<BH", 9, 3), 9_000_000)
     assert not host.asking
+
+
+def test_an_agent_that_is_silent_or_refuses_for_long_is_asked_again_within_the_grace():
+    """What it gets at its return counts as told at once, whether or not a call is out at that moment."""
+    watch = Asking(Terms(), Random(1))
+    watch.begin(0.0)
+    now = 0.0
+    for end in [End.SILENT, End.FAILED] * 20:
+        watch.calling(now)
+        now += FIRST_WORD if end is End.SILENT else 0.0
+        watch.ended(now, end)
+        assert watch.next_at - now <= GRACE / 2 + 1e-9, "and half of it is left for the call"
+        now = watch.next_at
