--- /dev/null
+++ b/benchmarks/soak_mutations.py
@@ -0,0 +1,151 @@
+"""Which known faults the soak finds: each is put into a copy of the program, and the first seeds are played against it.
+
+    python benchmarks/soak_mutations.py [--seeds 10] [--side-by-side 4] [--only WORD]
+
+Prints a row for each fault: how many seeds broke a rule, and which rules. It takes some minutes.
+"""
+
+from __future__ import annotations
+
+import argparse
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).parent.parent
+
+
+class Mutation(NamedTuple):
+    """One fault: a text of a file that is replaced by another."""
+
+    name: str
+    file: str
+    good: str
+    bad: str
+
+
+MUTATIONS = [
+    Mutation(
+        "a new discovery is believed at once",
+        "core/process_table.py",
+        "        return found if found.leaves and found.started >= word.started else None",
+        "        return None",
+    ),
+    Mutation(
+        "a timer puts the first list's entries back (the incident)",
+        "core/discovery.py",
+        "        self.close_former_if_caught_up()\n\n    def unchanged",
+        "        if new:\n"
+        "            items = [i for i in update['instances'] if i['lifecycle'] == 'in_service']\n"
+        "            self.loop.call_later(6.0, self.lists.apply, {'instances': items})\n\n    def unchanged",
+    ),
+    Mutation(
+        "the new discovery's replayed recall ends an objection",
+        "core/process_table.py",
+        "        self.words[name] = statement\n",
+        "        if not statement.leaves and name in self.words:\n"
+        "            self.carried.pop(name, None)\n"
+        "        self.words[name] = statement\n",
+    ),
+    Mutation(
+        "the old watch is dropped at once",
+        "core/discovery.py",
+        "        watch.final = True\n        self.former.append(watch)",
+        "        watch.close()",
+    ),
+    Mutation(
+        "changes are used half a second late",
+        "core/discovery.py",
+        "            self.lists.apply(outcome.update, full=whole)\n            self.settled(watch)",
+        "            self.loop.call_later(0.0 if whole else 0.5, self.lists.apply, outcome.update, False, whole)\n"
+        "            self.settled(watch)",
+    ),
+    Mutation(
+        "a start does not wait for its first list",
+        "core/standing.py",
+        "        return self.open\n",
+        "        return True\n",
+    ),
+    Mutation("a silent watch is not noticed", "core/asking.py", "BEAT = 2.5 ", "BEAT = 1000.0 "),
+    Mutation("calls to an agent are 3 s apart", "core/asking.py", "GRACE / 2", "3.0"),
+    Mutation(
+        "a stop ends at an accept that failed",
+        "node/callers.py",
+        "            if connection is AcceptFailure.CONNECTION_GONE:\n                continue\n"
+        "            if connection is AcceptFailure.SHORTAGE:\n                return Backlog.WAITS\n",
+        "",
+    ),
+    Mutation(
+        "a socket option that cannot be set closes the connection",
+        "core/listener.py",
+        "        with suppress(OSError):\n            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)",
+        "        try:\n            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)\n"
+        "        except OSError:\n            connection.close()\n            self.dropped()\n            return",
+    ),
+    Mutation(
+        "the time that a request lay unread is not counted",
+        "core/read_delay.py",
+        "        bound = self.heartbeat.behind(now)\n",
+        "        return 0\n        bound = self.heartbeat.behind(now)\n",
+    ),
+    Mutation(
+        "attempts go out for clients that have left",
+        "core/host.py",
+        "    def left(self, r: Request) -> None:\n",
+        "    def left(self, r: Request) -> None:\n        return\n\n    def really_left(self, r: Request) -> None:\n",
+    ),
+    Mutation(
+        "an unsafe request passes for a keyed one",
+        "settings.py",
+        '"single_shot": Effect.UNSAFE',
+        '"single_shot": Effect.KEYED',
+    ),
+    Mutation(
+        "a stop does not wait for what is out",
+        "node/__main__.py",
+        "        while self.callers.busy():\n            await asyncio.sleep(0.01)\n",
+        "",
+    ),
+]
+
+
+def play(mutation: Mutation | None, seeds: int, side_by_side: int) -> tuple[str, Counter[str]]:
+    """The soak's last line on a copy with that fault, and the rules that were broken. ValueError if it does not fit."""
+    with tempfile.TemporaryDirectory(prefix="harecross-mutation-") as folder:
+        copy = Path(folder)
+        shutil.copytree(ROOT / "harecross", copy / "harecross", ignore=shutil.ignore_patterns("__pycache__"))
+        if mutation is not None:
+            path = copy / "harecross" / mutation.file
+            text = path.read_text()
+            if mutation.good not in text:
+                raise ValueError(f"{mutation.name}: {mutation.file} does not hold the text to replace")
+            path.write_text(text.replace(mutation.good, mutation.bad, 1))
+        command = [sys.executable, "-m", "harecross.soak", "--seeds", str(seeds)]
+        command += ["--side-by-side", str(side_by_side)]
+        ran = subprocess.run(command, cwd=copy, capture_output=True, text=True)
+        lines = ran.stdout.splitlines()
+        rules = Counter(re.findall(r"^rule ([a-z ]+):", ran.stdout, re.MULTILINE))
+        return (lines[-1] if lines else f"no result: {ran.stderr[-200:]}"), rules
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--side-by-side", type=int, default=4)
+    parser.add_argument("--only", default="", help="faults whose name holds this")
+    told = parser.parse_args()
+    for mutation in (None, *MUTATIONS):
+        name = "no fault" if mutation is None else mutation.name
+        if told.only not in name:
+            continue
+        result, rules = play(mutation, told.seeds, told.side_by_side)
+        print(f"{name}: {result}; {', '.join(f'{r} {n}' for r, n in rules.items()) or 'nothing'}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -182,6 +182,10 @@
     def log(self, watch: Watch, version: object, outcome: Outcome, now: float) -> None:
         for line in describe(outcome.transitions, now):
             say(f"discovery: {watch.place} v{version}: {line}")
+        trace = self.directory.host.trace
+        if trace is not None:
+            for transition in outcome.transitions:
+                trace.changed(transition, now)
 
     # ---- discoveries that have been left ----------------------------------------------------------------
 
--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -10,6 +10,7 @@
 from time import monotonic
 from typing import Protocol
 
+from harecross.core.process_table import Transition
 from harecross.core.requests import Message
 from harecross.core.servers import NEVER, Exchange, Servers, clock
 from harecross.core.standing import Standing
@@ -63,6 +64,9 @@
 
     def final(self, r: Request, how: str) -> None: ...
 
+    def changed(self, transition: Transition, now: float) -> None:
+        """A server process changed its state; `now` in monotonic seconds."""
+
     def listed(
         self, kind: ListKind, generation: object, came: Iterable[str], left: Iterable[str]
     ) -> None: ...
--- a/harecross/follow/attempts.py
+++ b/harecross/follow/attempts.py
@@ -14,10 +14,11 @@
 from typing import TextIO
 
 from harecross.core.host import Attempt, Request
+from harecross.core.process_table import Transition
 from harecross.interface import ListKind, Outcome
 
 MARK = "attempt "  # stands before the object: the log may hold other lines, and what reads it may put times before
-FLUSHING = frozenset(("start", "list", "final"))
+FLUSHING = frozenset(("start", "list", "process", "final"))
 FLUSHED = 64  # lines written together at most; what a crash loses of them
 
 
@@ -100,6 +101,20 @@
         """A list was read: which servers are in service by it that were not before, and which no longer are."""
         self.tell("list", kind=kind.name.lower(), generation=generation, came=sorted(came), left=sorted(left))
 
+    def changed(self, transition: Transition, now: float) -> None:
+        """A server process changed its state: from what to what, by whose word and how old that was, and why."""
+        said = transition.statement
+        self.tell(
+            "process",
+            **{"server.id": transition.name, "server.state": transition.after.value},
+            before=transition.before.value,
+            cause=transition.cause.value,
+            said_by=said.source.address,
+            said=said.lifecycle.value,
+            generation=said.version,
+            age=round(now - said.at, 3),
+        )
+
     def name(self, server: int) -> str:
         if server not in self.names:
             self.names = {number: name for name, number in self.numbers.items()}
--- a/harecross/follow/cli.py
+++ b/harecross/follow/cli.py
@@ -84,6 +84,13 @@
             f"{late.request} node={late.node} server={late.server}: {late.after:.3f} s after it was told; {times} "
             f"(listed: first read by {late.by})"
         )
+        if late.state is not None:
+            told = late.state.fields
+            typer.echo(
+                f"  at {(late.state.at - begin) / 1e9:.3f} "
+                f"{told['before']} -> {told['server.state']}, {told['cause']}: "
+                f"{told['said_by']} v{told['generation']} said {told['said']}, {told['age']} s before"
+            )
     typer.echo(f"{len(found)} sends to servers announced as leaving")
     if found:
         raise typer.Exit(1)
--- a/harecross/follow/leaving.py
+++ b/harecross/follow/leaving.py
@@ -31,6 +31,7 @@
     started: int  # the process that sent
     sent: int  # the server was chosen
     written: int  # the first byte left
+    state: Event | None = None  # the last change of the server's state at that node before, if the log has it
 
     @property
     def after(self) -> float:
@@ -81,6 +82,14 @@
     return found
 
 
+def last_state(logs: Logs, node: str, server: str, before: int) -> Event | None:
+    """The last change of a server's state that a node logged before that time."""
+    changes = (
+        e for e in logs.told.get(node, ()) if e.what == "process" and e.server == server and e.at <= before
+    )
+    return max(changes, key=lambda e: e.at, default=None)
+
+
 def began(e: Event) -> int:
     """When the process of a `start` line was started."""
     return e.at - int(float(e.fields.get("process.uptime", 0)) * NS)
@@ -117,6 +126,7 @@
                 started,
                 a.sent,
                 a.written,
+                last_state(logs, r.node, a.server, a.sent),
             )
             if late.after > GRACE:
                 found.append(late)
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -236,16 +236,13 @@
         Guards against: connections that say nothing, or half a request, or read nothing, are held for good.
         """
         now = clock()
-        for group in (self.silent, self.owing):
-            for caller in taken(group, now - OWED):
+        emptied = self.standing_by and now > self.stood_at + EMPTIED
+        for group, most in ((self.silent, EMPTIED // 2 if emptied else OWED), (self.owing, OWED)):
+            for caller in taken(group, now - most):
                 if caller.has_unread():
                     group[caller] = now  # what it owes has come in this turn
                 else:
                     caller.overdue()
-        emptied = self.standing_by and now > self.stood_at + EMPTIED
-        if emptied:
-            for caller in taken(self.silent, now - EMPTIED // 2):
-                caller.overdue()
         for caller in taken(self.resting, now if emptied else now - RESTING):
             if not caller.end_idle() and caller.transport is not None:
                 self.rests(caller)
--- a/tests/test_crossings_stop.py
+++ b/tests/test_crossings_stop.py
@@ -209,3 +209,24 @@
         await w.task
 
     with_node(test, settings=QUICK)
+
+
+@every_kind
+def test_a_first_request_that_crosses_the_sweep_of_a_standby(kind):
+    """A silent connection is closed early by a standby, unless its request has come and is only not read yet."""
+
+    async def test(w: World) -> None:
+        for origin in w.origins:
+            origin.answer_all()
+        client = Plain(w.node.address)
+        await taken(w, 1)
+        groups = w.node.callers
+        (one,) = groups.silent
+        groups.stand(True)
+        groups.stood_at -= callers.EMPTIED + 1
+        groups.silent[one] -= callers.EMPTIED
+        client.send(*kind)
+        groups.sweep()
+        assert await status(client) == 200
+
+    with_node(test)
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 
 import pytest
-from node_support import World, with_node
+from node_support import Catalog, World, entry, until, with_node
+from node_support import line as update_line
 from typer.testing import CliRunner
 
 from harecross.cli import app
@@ -191,6 +192,41 @@
     assert total == "2 sends to servers announced as leaving"
 
 
+def test_a_late_send_names_the_last_change_of_its_servers_state_and_whose_word_it_was(tmp_path):
+    def state(node: str, at: float, server: str, after: str, cause: str) -> str:
+        more = {"server.id": server, "server.state": after, "before": "held", "cause": cause}
+        return line(
+            node, "", at, "process", said_by="d:1", said="in service", generation=42, age=11.9, **more
+        )
+
+    n0 = started("n0", 1.0, 0.0) + told("n0", 5.0, left=("s1",))
+    n1 = started("n1", 1.0, 0.0) + told("n1", 5.0, left=("s1",))
+    n1 += state("n1", 6.0, "s2", "in service", "said") + state("n1", 7.0, "s1", "in service", "caught up")
+    n1 += served("n1", "late", 8.0, 0.4, "s1") + state("n1", 9.0, "s1", "draining", "said")
+    shown = run("--leaving", *logs(tmp_path, a=n0, b=n1))
+    late, state_line, total = shown.output.splitlines()
+    assert late.startswith("late node=n1 server=s1") and total.startswith("1 sends")
+    assert state_line == "  at 6.000 held -> in service, caught up: d:1 v42 said in service, 11.9 s before"
+
+
+def test_a_node_writes_each_change_of_a_servers_state_with_whose_word_it_was(tmp_path):
+    path = tmp_path / "n0.log"
+
+    async def test(w: World) -> None:
+        w.node.host.trace = AttemptLog("n0", str(path), w.node.directory.numbers)
+        watch = await w.watch()
+        Catalog.push(watch, update_line(42, entry("s0", w.origins[0].address, "terminating")))
+        await until(lambda: not w.node.directory.listed)
+
+    with_node(test)
+    changes = [e for events in read([path]).told.values() for e in events if e.what == "process"]
+    (change,) = changes
+    assert change.server == "s0" and change.fields["generation"] == 42
+    assert [change.fields[k] for k in ("before", "server.state", "cause", "said")] == [
+        "in service", "draining", "said", "draining",
+    ]  # fmt: skip
+
+
 def test_a_node_that_hears_nothing_may_send_for_six_seconds_more(tmp_path):
     a = started("n0", 1.0, 0.0) + told("n0", 5.0, left=("s1",))
     b = (
