--- a/harecross/core/process_table.py
+++ b/harecross/core/process_table.py
@@ -270,16 +270,15 @@
         """Drops what earlier discoveries said, if the present one has caught up; the entries to use by it."""
         if not self.catching_up or now < self.caught_up_after:
             return Outcome({"instances": []}, [])
-        before = {name: (self.state(name), self.entry(name)) for name in self.carried if name in self.words}
+        held = {name: self.state(name) for name in self.carried if self.differs(name)}
         self.catching_up = False
         self.carried = {}
-        used, transitions = [], []
-        for name, (state, entry) in before.items():
-            if self.state(name) is not state:
-                transitions.append(self.transition(name, state, Cause.CAUGHT_UP))
-            if self.entry(name) != entry:
-                used.append(self.entry(name))
-        return Outcome({"instances": used}, transitions)
+        transitions = [
+            self.transition(name, state, Cause.CAUGHT_UP)
+            for name, state in held.items()
+            if state is State.HELD
+        ]
+        return Outcome({"instances": [self.words[name].item for name in held]}, transitions)
 
     # ---- what records amount to -------------------------------------------------------------------------
 
@@ -288,20 +287,27 @@
         word = self.words.get(name)
         if word is None:
             return State.GONE
-        if word.leaves:
+        if word.lifecycle is not Lifecycle.IN_SERVICE:
             return AS_STATE[word.lifecycle]
         return State.IN_SERVICE if self.objection(name, word) is None else State.HELD
 
     def entry(self, name: str) -> Item:
-        """The entry to use of a server of which the present discovery has said something."""
+        """The entry to use of a server of which the present discovery has said something: its own, if it decides."""
         word = self.words[name]
         earlier = self.carried.get(name)
-        if word.leaves or not earlier:
+        if earlier is None or word.lifecycle is not Lifecycle.IN_SERVICE:
             return word.item
         if self.objection(name, word) is not None:
             return {**word.item, "lifecycle": "terminating"}
-        latest = max(earlier.values(), key=lambda s: s.started)
-        return latest.item if latest.started > word.started else word.item
+        latest = word
+        for statement in earlier.values():
+            if statement.started > latest.started:
+                latest = statement
+        return latest.item
+
+    def differs(self, name: str) -> bool:
+        """Whether something else than the present discovery's own entry is used of a server."""
+        return name in self.words and self.entry(name) is not self.words[name].item
 
     def entry_for(self, item: Any) -> Any:
         """The entry to use in the place of one that has just been put; what is no entry stays as it is."""
@@ -315,10 +321,11 @@
     def objection(self, name: str, word: Statement) -> Statement | None:
         """An earlier discovery's word that this process, or a later one of the server, leaves."""
         earlier = self.carried.get(name)
-        if not earlier:
-            return None
-        found = max(earlier.values(), key=binding_rank)
-        return found if found.leaves and found.started >= word.started else None
+        if earlier is not None:
+            for statement in earlier.values():
+                if statement.lifecycle is not Lifecycle.IN_SERVICE and statement.started >= word.started:
+                    return statement
+        return None
 
     def known_of(self, name: str) -> Iterator[Statement]:
         """All that stands in the records of a server."""
