Soak: runs with silence or restarts in the foreground; the disk's failures on a real process

Change: one run in four keeps its changes and is silent, one restarts every node; configurations may have an old list.

What operators were promised: ENOSPC and EIO on write and fsync of a real process, which is then killed; 4 tests.

--- a/harecross/soak/plan.py
+++ b/harecross/soak/plan.py
@@ -4,6 +4,7 @@
 
 import errno
 from dataclasses import dataclass
+from enum import Enum
 from random import Random
 from typing import NamedTuple
 
@@ -16,6 +17,14 @@
 FIRST_MOVE = 1.5  # SIGHUP comes never in a node's first second
 
 
+class Emphasis(Enum):
+    """What most of a run's trouble is."""
+
+    MOVES = "moves"
+    SILENCE = "silence"  # few changes, so that what a silent watch missed still holds when it is binding
+    RESTARTS = "restarts"
+
+
 class ClassPlan(NamedTuple):
     """One class of requests."""
 
@@ -95,7 +104,8 @@
         ClassPlan("pay", Effect.UNSAFE, longest),
     )
     servers = tuple(draw_server(rng, i) for i in range(rng.randint(5, 9)))
-    events = tuple(sorted(e for node in nodes for e in draw_events(rng, node, seconds, longest)))
+    emphasis = rng.choice([Emphasis.MOVES, Emphasis.MOVES, Emphasis.SILENCE, Emphasis.RESTARTS])
+    events = tuple(sorted(e for node in nodes for e in draw_events(rng, node, seconds, longest, emphasis)))
     return Plan(
         seed,
         seconds,
@@ -105,7 +115,7 @@
         leaves=rng.choice([0.0, 0.03, 0.15]),
         crowd_at=rng.uniform(2, seconds - QUIET_END) if rng.random() < 0.3 else -1.0,
         servers=servers,
-        changes=tuple(draw_changes(rng, [s.name for s in servers], seconds)),
+        changes=tuple(draw_changes(rng, [s.name for s in servers], seconds, emphasis)),
         discoveries={node: draw_discoveries(rng, node, events) for node in nodes},
         events=events,
         calls={node: draw_calls(rng, seconds) for node in nodes},
@@ -129,9 +139,10 @@
     )
 
 
-def draw_changes(rng: Random, names: list[str], seconds: float) -> list[ListChange]:
+def draw_changes(rng: Random, names: list[str], seconds: float, emphasis: Emphasis) -> list[ListChange]:
     """Groups of servers drain, are recalled without a restart, drain again, go and come back as new processes."""
     changes = []
+    pauses = [2.0, 4.0, 6.0] if emphasis is Emphasis.SILENCE else [0.2, 0.3, 0.6, 1.0, 2.0, 4.0]
     at = rng.uniform(1.0, 3.0)
     lifecycles = dict.fromkeys(names, "in_service")
     while at < seconds - QUIET_END:
@@ -156,19 +167,25 @@
             what = "terminating" if rng.random() < 0.9 else "terminated"
             changes.append(ListChange(at, tuple(sorted(group)), what))
             lifecycles.update(dict.fromkeys(group, what))
-        at += rng.choice([0.2, 0.3, 0.6, 1.0, 2.0, 4.0])
+        at += rng.choice(pauses)
     return changes
 
 
-def draw_events(rng: Random, node: str, seconds: float, longest: float) -> list[NodeEvent]:
+def draw_events(
+    rng: Random, node: str, seconds: float, longest: float, emphasis: Emphasis
+) -> list[NodeEvent]:
     events = []
     end = seconds - QUIET_END
     at = rng.uniform(FIRST_MOVE, 4.0)
-    while at < end:
+    while at < end and emphasis is not Emphasis.SILENCE:
         for _ in range(rng.choice([1, 1, 2, 5])):
             events.append(NodeEvent(at, node, "move"))
             at += rng.choice([0.3, 0.5, 1.0])
         at += rng.uniform(1.0, 6.0)
+    if emphasis is Emphasis.SILENCE and rng.random() < 0.5:
+        events.append(NodeEvent(rng.uniform(0.5, 3.0), node, "mute"))
+    elif emphasis is Emphasis.SILENCE:
+        events.append(NodeEvent(rng.uniform(0.5, 2.0), node, "down", rng.uniform(3.0, 7.0)))
     for _ in range(rng.randint(0, 2)):
         events.append(NodeEvent(rng.uniform(1, end), node, "mute"))
     if rng.random() < 0.4:
@@ -177,7 +194,7 @@
         events.append(NodeEvent(rng.uniform(1, end), node, "down", rng.uniform(0.5, 4.0)))
     for _ in range(rng.randint(0, 6)):
         events.append(NodeEvent(rng.uniform(1, end), node, "hold", rng.uniform(0.03, 0.14)))
-    if rng.random() < 0.4:
+    if rng.random() < (1.0 if emphasis is Emphasis.RESTARTS else 0.3):
         # Clients send on until the kill; a node is moved neither while it stops nor in its first second.
         what, at = rng.choice(["stop", "kill"]), rng.uniform(3, end)
         back = at + (longest + 0.7 if what == "stop" else 0.0) + 2.0
--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from pathlib import Path
+from random import Random
 
 from harecross.soak.clients import NodeClients
 from harecross.soak.discoveries import SoakDiscovery
@@ -34,6 +35,7 @@
         self.folder = folder
         self.records = records
         self.shim = shim
+        self.rng = Random(f"{plan.seed}/{name}/node")
         self.lives = 0
         self.discoveries: list[SoakDiscovery] = []
         self.clients = NodeClients(plan, name, records)
@@ -71,10 +73,15 @@
             "discovery": self.discovery.address,
             "seed": f"{self.plan.seed * 100 + self.lives:x}",
             "limits": {"sockets": 1024, "memory_mb": 192},
-            "known": self.discovery.whole(self.discovery.known),
+            "known": self.discovery.whole(self.known_upto()),
             "settings": node_settings(classes, len(self.plan.nodes)),
         }
 
+    def known_upto(self) -> int:
+        """The list of a configuration may be old: so many changes are in it."""
+        servers = len(self.plan.servers)
+        return max(servers, self.discovery.known - self.rng.choice([0, 0, 2, 5, 10]))
+
     async def start(self) -> None:
         """A new process of the node. ClusterError if it does not start."""
         self.lives += 1
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -176,24 +176,60 @@
     run(test())
 
 
+async def door_call(node: NodeProcess, method: str, path: str, body: str = "") -> tuple[int, str]:
+    """One call at the node's door: status and text."""
+    (said,) = [text for text in node.said if text.startswith("door: listening on ")]
+    host, _, port = said.rpartition(" ")[2].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: d\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+    async with asyncio.timeout(5):
+        head, text = await read_message(reader)
+    writer.close()
+    return int(head.split(b" ")[1]), text.decode()
+
+
+@pytest.mark.parametrize("call", ["write_file", "fsync"])
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO], ids=errno.errorcode.get)
+def test_what_operators_were_promised_outlives_a_kill_and_what_cannot_be_written_is_not_promised(
+    call, error, shim, tmp_path
+):
+    async def test() -> None:
+        origins = [await ClosingOrigin().start() for _ in range(2)]
+        catalog = await Catalog().start()
+        catalog.put(*(entry(f"s{i}", o.address) for i, o in enumerate(origins)))
+        config = config_of(catalog.address, admin="127.0.0.1:0", known=catalog.whole())
+        lasting = tmp_path / "lasting"
+        lasting.mkdir()
+        faults = environment(shim, 1, [CallFault(call, error, 1.0, 1.5, ALWAYS)])
+        first = NodeProcess("n0", tmp_path, config, {**faults, "TMPDIR": str(lasting)})
+        second = NodeProcess("n0", tmp_path, config, {"TMPDIR": str(lasting)})
+        try:
+            await first.start(None)
+            assert (await door_call(first, "POST", "/maintenance/enter", "s0"))[0] == 200
+            await asyncio.sleep(1.6)
+            status, text = await door_call(first, "POST", "/maintenance/enter", "s1")
+            assert status == 500 and "cannot be written" in text
+            assert (await door_call(first, "GET", "/status"))[1] == "active; servers out: s0\n"
+            await first.end()
+            await second.start(None)
+            assert (await door_call(second, "GET", "/status"))[1] == "active; servers out: s0\n"
+            assert (await door_call(second, "POST", "/maintenance/exit", "s0"))[0] == 200
+        finally:
+            await first.end()
+            await second.end()
+            await catalog.stop()
+
+    run(test())
+
+
 @pytest.mark.parametrize("error", ABORTS + SHORTAGES, ids=errno.errorcode.get)
 def test_the_operators_door_is_open_again_after_accept_has_failed(error, shim, tmp_path):
-    async def status(address: tuple[str, int]) -> bytes:
-        reader, writer = await asyncio.open_connection(*address)
-        writer.write(b"GET /status HTTP/1.1\r\nHost: d\r\n\r\n")
-        async with asyncio.timeout(5):
-            found = await reader.readline()
-        writer.close()
-        return found
-
     async def test() -> None:
         fault = CallFault("accept", error, 0.9, 1.0, 2.0)
         async with faulty_node(tmp_path, shim, fault, admin="127.0.0.1:0") as world:
-            (said,) = [text for text in world.node.said if text.startswith("door: listening on ")]
-            host, _, port = said.rpartition(" ")[2].rpartition(":")
             await asyncio.sleep(1.0)
             for _ in range(5):
-                assert (await status((host, int(port)))).startswith(b"HTTP/1.1 200")
+                assert (await door_call(world.node, "GET", "/status"))[0] == 200
 
     run(test())
 
