Who stands far behind in a crowd has waited since the crowd came; soak seeds take turns

A listener now counts from when nothing waited last.

Soak: consecutive seeds are about moves, mute watches, discoveries that are down, restarts; clients come anew after SIGTERM; a process may start while its discovery is silent, and what that has counts as told from its first moment.

--- a/benchmarks/soak_mutations.py
+++ b/benchmarks/soak_mutations.py
@@ -27,6 +27,12 @@
     file: str
     good: str
     bad: str
+    more: tuple[tuple[str, str, str], ...] = ()  # further ones of the same fault
+
+    @property
+    def changes(self) -> list[tuple[str, str, str]]:
+        """Each as file, text, text in its place."""
+        return [(self.file, self.good, self.bad), *self.more]
 
 
 MUTATIONS = [
@@ -98,12 +104,19 @@
         "core/host.py",
         "    def left(self, r: Request) -> None:\n",
         "    def left(self, r: Request) -> None:\n        return\n\n    def really_left(self, r: Request) -> None:\n",
+        (
+            (
+                "core/presence.py",
+                "    return looked(descriptor, ENDED) &",
+                "    return False and looked(descriptor, ENDED) &",
+            ),
+        ),
     ),
     Mutation(
-        "an unsafe request passes for a keyed one",
-        "settings.py",
-        '"single_shot": Effect.UNSAFE',
-        '"single_shot": Effect.KEYED',
+        "an unsafe request that may have run is sent again",
+        "policy/balancer.py",
+        "not ran or r.effect == Effect.SAFE or (r.effect == Effect.KEYED and now < r.ran_at + c.window)",
+        "True",
     ),
     Mutation(
         "a stop does not wait for what is out",
@@ -120,11 +133,12 @@
         copy = Path(folder)
         shutil.copytree(ROOT / "harecross", copy / "harecross", ignore=shutil.ignore_patterns("__pycache__"))
         if mutation is not None:
-            path = copy / "harecross" / mutation.file
-            text = path.read_text()
-            if mutation.good not in text:
-                raise ValueError(f"{mutation.name}: {mutation.file} does not hold the text to replace")
-            path.write_text(text.replace(mutation.good, mutation.bad, 1))
+            for file, good, bad in mutation.changes:
+                path = copy / "harecross" / file
+                text = path.read_text()
+                if good not in text:
+                    raise ValueError(f"{mutation.name}: {file} does not hold the text to replace")
+                path.write_text(text.replace(good, bad, 1))
         command = [sys.executable, "-m", "harecross.soak", "--seeds", str(seeds)]
         command += ["--side-by-side", str(side_by_side)]
         ran = subprocess.run(command, cwd=copy, capture_output=True, text=True)
--- a/harecross/core/listener.py
+++ b/harecross/core/listener.py
@@ -45,8 +45,8 @@
         self.resuming: asyncio.TimerHandle | None = None
         self.short = False  # this machine is: said once in the log
         self.heartbeat = heartbeat or Heartbeat()
-        # What waits may have come since then, in monotonic microseconds; None while all is taken at once.
-        self.unwatched_since: int | None = clock()
+        # What waits may have come since then, in monotonic microseconds; None while nothing does.
+        self.waiting_since: int | None = clock()
         self.came_after = 0  # the connection taken last did
 
     def start(self) -> None:
@@ -71,8 +71,8 @@
         if self.resuming is not None:
             self.resuming.cancel()
             self.resuming = None
-        if self.unwatched_since is None:
-            self.unwatched_since = clock()
+        if self.waiting_since is None:
+            self.waiting_since = clock()
         if self.sock.fileno() >= 0:
             self.loop.remove_reader(self.sock)
 
@@ -87,15 +87,17 @@
             except OSError as error:
                 failure = accept_failure(error)
                 if failure is AcceptFailure.NONE_WAITS:
-                    self.unwatched_since = None
+                    self.waiting_since = None
                 if failure is not AcceptFailure.SHORTAGE:
                     return failure
                 last = error
                 continue
             self.note_shortage(None)
-            now = clock()
-            watched = self.unwatched_since is None
-            self.came_after = now - self.heartbeat.behind(now) if watched else self.unwatched_since or 0
+            if self.waiting_since is None:
+                now = clock()
+                self.waiting_since = now - self.heartbeat.behind(now)
+            # Guards against: what stands far behind in a crowd passes for one that came when its turn did.
+            self.came_after = self.waiting_since
             return connection
         self.note_shortage(last)
         self.pause(SHORTAGE_PAUSE)
--- a/harecross/soak/clients.py
+++ b/harecross/soak/clients.py
@@ -14,6 +14,7 @@
 CROWD = 150  # connections of a crowd
 CROWD_STAYS = 2.0  # seconds
 RESENDS = 1
+ANEW_EVERY = 0.008  # seconds
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -49,6 +50,13 @@
         for _, writer in self.idle:
             writer.close()
 
+    async def come_anew(self, seconds: float) -> None:
+        """Requests on new connections, as of clients that are sent away and come back at once."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.start(self.request(self.rng.choice(self.plan.classes), anew=True))
+            await asyncio.sleep(ANEW_EVERY)
+
     def start(self, work) -> None:  # type: ignore[no-untyped-def]
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -73,12 +81,13 @@
             f"X-Timeout: {round(record.timeout * 1000)}m\r\n{key}{length}\r\n{body}"
         ).encode()
 
-    async def request(self, told: ClassPlan) -> None:
+    async def request(self, told: ClassPlan, anew: bool = False) -> None:
+        """One request, on a kept connection if there is one, or `anew`."""
         self.count += 1
         timeout = round(told.deadline * self.rng.uniform(0.3, 1.0), 3)
         leaves = self.rng.uniform(0, timeout) if self.rng.random() < self.plan.leaves else None
         record = ClientRecord(f"{self.name}-{self.count}", self.life, told.effect, 0.0, timeout, True)
-        connection = self.kept()
+        connection = None if anew else self.kept()
         record.fresh = connection is None
         for _ in range(1 + RESENDS):
             if connection is None:
--- a/harecross/soak/discoveries.py
+++ b/harecross/soak/discoveries.py
@@ -86,9 +86,11 @@
 
     def new_life(self, node: str) -> None:
         """Another process of the node: what the agent has counts as told from its first moment on."""
-        self.node, self.told = node, 0
-        self.active_from = min(self.active_from, time.monotonic() - MOVED)
-        self.look()
+        now = time.monotonic()
+        self.node, self.told = node, self.known
+        self.active_from = min(self.active_from, now - MOVED)
+        for number in range(self.known):
+            self.tell(number, now, "agent has it at the start")
 
     # ---- calls ------------------------------------------------------------------------------------------
 
--- a/harecross/soak/plan.py
+++ b/harecross/soak/plan.py
@@ -21,9 +21,27 @@
     """What most of a run's trouble is."""
 
     MOVES = "moves"
-    SILENCE = "silence"  # few changes, so that what a silent watch missed still holds when it is binding
+    MUTE = "watches fall silent"  # few changes, so that what they missed still holds when it is binding
+    DOWN = "discoveries are down for long"  # the same
     RESTARTS = "restarts"
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nodes stay with their discovery, and changes are few."""
+        return self in (Emphasis.MUTE, Emphasis.DOWN)
+
+
+# What consecutive seeds are about.
+ROUND = (
+    Emphasis.MOVES,
+    Emphasis.MUTE,
+    Emphasis.MOVES,
+    Emphasis.RESTARTS,
+    Emphasis.MOVES,
+    Emphasis.DOWN,
+    Emphasis.RESTARTS,
+)
+
 
 class ClassPlan(NamedTuple):
     """One class of requests."""
@@ -104,7 +122,7 @@
         ClassPlan("pay", Effect.UNSAFE, longest),
     )
     servers = tuple(draw_server(rng, i) for i in range(rng.randint(5, 9)))
-    emphasis = rng.choice([Emphasis.MOVES, Emphasis.MOVES, Emphasis.SILENCE, Emphasis.RESTARTS])
+    emphasis = ROUND[seed % len(ROUND)]
     events = tuple(sorted(e for node in nodes for e in draw_events(rng, node, seconds, longest, emphasis)))
     return Plan(
         seed,
@@ -142,7 +160,7 @@
 def draw_changes(rng: Random, names: list[str], seconds: float, emphasis: Emphasis) -> list[ListChange]:
     """Groups of servers drain, are recalled without a restart, drain again, go and come back as new processes."""
     changes = []
-    pauses = [2.0, 4.0, 6.0] if emphasis is Emphasis.SILENCE else [0.2, 0.3, 0.6, 1.0, 2.0, 4.0]
+    pauses = [2.0, 4.0, 6.0] if emphasis.quiet else [0.2, 0.3, 0.6, 1.0, 2.0, 4.0]
     at = rng.uniform(1.0, 3.0)
     lifecycles = dict.fromkeys(names, "in_service")
     while at < seconds - QUIET_END:
@@ -177,14 +195,14 @@
     events = []
     end = seconds - QUIET_END
     at = rng.uniform(FIRST_MOVE, 4.0)
-    while at < end and emphasis is not Emphasis.SILENCE:
+    while at < end and not emphasis.quiet:
         for _ in range(rng.choice([1, 1, 2, 5])):
             events.append(NodeEvent(at, node, "move"))
             at += rng.choice([0.3, 0.5, 1.0])
         at += rng.uniform(1.0, 6.0)
-    if emphasis is Emphasis.SILENCE and rng.random() < 0.5:
+    if emphasis is Emphasis.MUTE:
         events.append(NodeEvent(rng.uniform(0.5, 3.0), node, "mute"))
-    elif emphasis is Emphasis.SILENCE:
+    elif emphasis is Emphasis.DOWN:
         events.append(NodeEvent(rng.uniform(0.5, 2.0), node, "down", rng.uniform(3.0, 7.0)))
     for _ in range(rng.randint(0, 2)):
         events.append(NodeEvent(rng.uniform(1, end), node, "mute"))
@@ -200,6 +218,10 @@
         back = at + (longest + 0.7 if what == "stop" else 0.0) + 2.0
         events = [e for e in events if not at - 0.2 < e.at < back]
         events.append(NodeEvent(at, node, what))
+        if rng.random() < 0.5:
+            # The next process starts while its discovery is silent.
+            down = at + (longest + 0.7 if what == "stop" else 0.0) - 0.05
+            events.append(NodeEvent(down, node, "down", rng.uniform(1.5, 3.0)))
     return events
 
 
--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -22,6 +22,7 @@
 
 KILL_AFTER = 0.7  # seconds after SIGTERM and the longest deadline
 RESTART_AFTER = 0.3
+COME_ANEW = 1.2  # seconds after SIGTERM for which clients open new connections all the time
 LAG_LOOK = 0.005  # seconds between two looks at how late this process is
 SETTLED = 0.5  # seconds after the load ends until the records are closed
 
@@ -136,6 +137,7 @@
         if gently:
             process.signal(signal.SIGTERM)
             self.note("SIGTERM")
+            self.clients.start(self.clients.come_anew(COME_ANEW))
             await asyncio.sleep(max(c.deadline for c in self.plan.classes) + KILL_AFTER)
         self.note("SIGKILL")
         await process.end()
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
+import socket
 import time
 
 import pytest
 
+from harecross.core.listener import Listener
 from harecross.core.read_delay import Heartbeat, ReadDelay, WaitingSocket
+from harecross.core.servers import clock
+from harecross.core.system_errors import AcceptFailure
 from harecross.standins.cluster import NodeProcess
 from harecross.standins.discovery import Catalog
 from tests.node_support import STARTED, Client, Origin, chunk, config_of, entry, held_calls, run, update
@@ -92,8 +97,6 @@
     """Where the process listens, as the kernel has it."""
     assert node.process is not None
     inodes = set()
-    import os
-
     for name in os.listdir(f"/proc/{node.process.pid}/fd"):
         target = os.readlink(f"/proc/{node.process.pid}/fd/{name}")
         if target.startswith("socket:["):
@@ -103,6 +106,33 @@
     return [int(row[1].rpartition(":")[2], 16) for row in rows if row[3] == "0A" and row[9] in inodes]
 
 
+def test_who_stands_far_behind_in_a_crowd_has_waited_since_the_crowd_came():
+    """Connections are taken a few in a turn; those behind have waited for all turns since nothing was waiting."""
+
+    async def test() -> None:
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(100)
+        heartbeat = Heartbeat()
+        listener = Listener(sock, lambda waiting: asyncio.Protocol(), lambda: None, heartbeat)
+        assert listener.take() is AcceptFailure.NONE_WAITS and listener.waiting_since is None
+        callers = [socket.create_connection(sock.getsockname()) for _ in range(3)]
+        before, came = clock(), []
+        for pause in (0.0, 0.05, 0.1):
+            await asyncio.sleep(pause)
+            taken = listener.take()
+            assert isinstance(taken, socket.socket)
+            taken.close()
+            came.append(listener.came_after)
+        assert before <= came[0] == came[1] == came[2], "since the first of them was taken"
+        assert listener.take() is AcceptFailure.NONE_WAITS and listener.waiting_since is None
+        for caller in callers:
+            caller.close()
+        await listener.close()
+
+    run(test())
+
+
 # ---- free of sockets --------------------------------------------------------------------------------------
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -156,6 +156,7 @@
     from benchmarks.soak_mutations import MUTATIONS, ROOT
 
     for mutation in MUTATIONS:
-        text = (ROOT / "harecross" / mutation.file).read_text()
-        assert mutation.good in text, mutation.name
-        compile(text.replace(mutation.good, mutation.bad, 1), mutation.file, "exec")
+        for file, good, bad in mutation.changes:
+            text = (ROOT / "harecross" / file).read_text()
+            assert good in text, mutation.name
+            compile(text.replace(good, bad, 1), file, "exec")
