--- a/harecross/soak/discoveries.py
+++ b/harecross/soak/discoveries.py
@@ -137,12 +137,19 @@
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         opened = OpenWatch(writer, after)
         self.watches.append(opened)
-        if not 0 <= after <= self.known:
-            await self.send(writer, self.whole(self.known))
-            self.wrote(0, self.known)
-            opened.sent = self.known
+        upto = self.known
+        if not 0 <= after <= upto:
+            await self.send(writer, self.whole(upto))
+            self.wrote(0, upto)
+        elif after < upto:
+            # The first line holds all that changed after that version (PROTOCOL, "Discovery").
+            last = {change.server: change for change in self.records.changes[after:upto]}
+            items = [self.item(change) for change in last.values()]
+            await self.send(writer, update(self.plan.first_version + upto, *items))
+            self.wrote(after, upto)
         else:
             writer.write(chunk(b""))
+        opened.sent = upto
         word_at = time.monotonic()
         while not writer.is_closing():
             if opened.muted_at is None and not self.down:
