--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import tempfile
 import time
@@ -104,7 +103,7 @@
         host, port = self.process.address
         self.listen, self.clients.address = f"{host}:{port}", (host, port)
 
-    async def move(self, address_of: object) -> None:
+    async def move(self) -> None:
         """SIGHUP with another discovery."""
         process, old = self.process, self.discovery
         plan = self.plan.discoveries[self.name][len(self.discoveries)]
@@ -238,7 +237,7 @@
     async def act(self, event: NodeEvent) -> None:
         node = self.nodes[event.node]
         if event.what == "move":
-            await node.move(self.address_of)
+            await node.move()
         elif event.what == "hold":
             await node.hold(event.seconds)
         elif event.what == "mute":
@@ -275,8 +274,3 @@
         except ClusterError as error:
             run.records.crashes.append(SignalRecord("", time.monotonic(), str(error)))
     return run.records, Oracle(run.records).breaches()
-
-
-def busy() -> float:
-    """Processes that want a processor, for each one that there is: a loaded machine makes records late."""
-    return os.getloadavg()[0] / (os.cpu_count() or 1)
