--- a/harecross/soak/faults.c
+++ b/harecross/soak/faults.c
@@ -2,7 +2,8 @@
 
    FAULT_RULES holds rules separated by ';', each 'call errno probability from to': a call of that name fails with
    that errno with that probability, from so many to so many seconds after the process loaded this library. Two
-   errnos mean no failure: -1 on read or write cuts the count to at most 7 bytes. FAULT_CLOCK holds steps of the wall
+   numbers mean no failure: -1 on read or write cuts the count to at most 7 bytes, and -2 on close_listener holds the
+   process up for 50 ms just before it closes a listening socket, as a scheduler may. FAULT_CLOCK holds steps of the wall
    clock, 'at seconds' separated by ';'. FAULT_SEED seeds the draws. Monotonic clocks are never touched.
 
    read and write rules hold for stream sockets that the process itself has connected or accepted, fsync and write_file
@@ -26,6 +27,8 @@
 #define RULES_MOST 32
 #define SHORT_BYTES 7
 #define CUT -1
+#define HELD_UP -2
+#define HELD_UP_MICROSECONDS 50000
 
 struct rule {
     char call[16];
@@ -115,6 +118,15 @@
     return found;
 }
 
+static int is_listener(int fd) {
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    int saved = errno;
+    int found = !getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) && listens;
+    errno = saved;
+    return found;
+}
+
 static int is_file(int fd) {
     struct stat told;
     int saved = errno;
@@ -143,6 +155,12 @@
     return address->sa_family == AF_INET && fails("connect") ? -1 : real(fd, address, size);
 }
 
+int close(int fd) {
+    REAL(close);
+    if (rule_count && is_listener(fd) && fault("close_listener") == HELD_UP) usleep(HELD_UP_MICROSECONDS);
+    return real(fd);
+}
+
 int setsockopt(int fd, int level, int name, const void *value, socklen_t size) {
     REAL(setsockopt);
     return fails("setsockopt") ? -1 : real(fd, level, name, value, size);
--- a/harecross/soak/shim.py
+++ b/harecross/soak/shim.py
@@ -13,12 +13,14 @@
 
 SOURCE = Path(__file__).with_name("faults.c")
 CUT = -1  # in the place of an errno: the call moves a few bytes only
+HELD_UP = -2  # in the place of an errno: the process is held up for 50 ms before the call
 
 
 class CallFault(NamedTuple):
     """A system call that fails with `error`, with that probability, between two times after the process started.
 
-    `call` is one of accept, socket, connect, setsockopt, read, write, fsync, write_file. Times in seconds.
+    `call` is one of accept, socket, connect, setsockopt, read, write, fsync, write_file, close_listener. Times in
+    seconds.
     """
 
     call: str
@@ -30,7 +32,7 @@
     @property
     def name(self) -> str:
         """For a report: the call and the name of its errno."""
-        how = "cut short" if self.error == CUT else errno.errorcode[self.error]
+        how = {CUT: "cut short", HELD_UP: "held up"}.get(self.error) or errno.errorcode[self.error]
         return f"{self.call} {how} {self.probability:g} from {self.start:g} to {self.end:g} s"
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -143,7 +143,7 @@
     text = "\n".join(report(records, Oracle(records).breaches()))
     for part in (
         "rule drain: 10.050 n.1 to s 1.050 s after it was told",
-        "client: id r unsafe to n.1, sent 10.000",
+        "client: id r unsafe to n.1 on a new connection, sent 10.000",
         "server s: bytes 10.050",
         "8.000 SIGHUP to d:1",
         "9.000 s terminating of 5.000: written, d:1",
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from harecross.soak.shim import CUT, CallFault, build, environment
+from harecross.soak.shim import CUT, HELD_UP, CallFault, build, environment
 from harecross.standins.cluster import NodeProcess
 from harecross.standins.discovery import Catalog
 from harecross.standins.http import answer, read_message
@@ -111,31 +111,47 @@
 SHORTAGES = [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM]
 
 
+async def clients_through_a_stop(world: FaultyNode) -> None:
+    """Clients come on new connections from SIGTERM until the node refuses them. AssertionError if one is lost."""
+    lost, answered = [], []
+
+    async def one() -> None:
+        try:
+            status = await world.request()
+        except (ConnectionError, asyncio.IncompleteReadError) as e:
+            lost.append(e)
+        else:
+            answered.append(status)
+
+    tasks = [asyncio.create_task(one())]
+    world.node.signal(signal.SIGTERM)
+    process = world.node.process
+    assert process is not None
+    while process.returncode is None and None not in answered:
+        tasks += [asyncio.create_task(one()) for _ in range(8)]
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*tasks)
+    assert not lost, f"{len(lost)} of {len(tasks)}: {lost[0]!r}"
+    assert sum(s is not None for s in answered) > 50
+    assert not world.tracebacks()
+
+
 @pytest.mark.parametrize("error", ABORTS + SHORTAGES, ids=errno.errorcode.get)
 def test_an_accept_that_fails_while_the_node_stops_resets_nobody_in_the_backlog(error, shim, tmp_path):
     async def test() -> None:
         async with faulty_node(tmp_path, shim, CallFault("accept", error, 0.8, 0, ALWAYS)) as world:
-            lost, answered = [], []
-
-            async def one() -> None:
-                try:
-                    status = await world.request()
-                except (ConnectionError, asyncio.IncompleteReadError) as e:
-                    lost.append(e)
-                else:
-                    answered.append(status)
-
-            tasks = [asyncio.create_task(one())]
-            world.node.signal(signal.SIGTERM)
-            process = world.node.process
-            assert process is not None
-            while process.returncode is None and None not in answered:
-                tasks += [asyncio.create_task(one()) for _ in range(8)]
-                await asyncio.sleep(0.01)
-            await asyncio.gather(*tasks)
-            assert not lost, f"{len(lost)} of {len(tasks)}: {lost[0]!r}"
-            assert sum(s is not None for s in answered) > 50
-            assert not world.tracebacks()
+            await clients_through_a_stop(world)
+
+    run(test())
+
+
+def test_a_stop_resets_nobody_who_comes_between_its_last_accept_and_the_close(shim, tmp_path):
+    """Connections that the kernel has taken and the process has not are reset with the listening socket."""
+
+    async def test() -> None:
+        fault = CallFault("close_listener", HELD_UP, 1.0, 0, ALWAYS)
+        async with faulty_node(tmp_path, shim, fault) as world:
+            await clients_through_a_stop(world)
 
     run(test())
 
