A stop no longer resets who connects between its last accept and the close

Cause: the kernel completes handshakes by itself, and closing the listening socket resets what it took since the last accept. Clients whose idle connection a stop has just closed come back within a millisecond, and that was the very moment in which the listener was closed: both times were the same.

Change: before the close a socket filter drops packets that ask for a new connection (core/refuse_new.py); handshakes that have begun end and are taken, then the socket is closed. Not on an inherited socket, which others may share. The listener stays open for 50 ms after idle connections were closed, and closes 50 ms before the stop's end where deadlines are short: up to 0.1 s it was to close after the end.

--- a/harecross/core/listener.py
+++ b/harecross/core/listener.py
@@ -13,11 +13,13 @@
 
 from harecross.core.host import say
 from harecross.core.read_delay import Heartbeat, WaitingSocket
+from harecross.core.refuse_new import refuse_new_connections
 from harecross.core.servers import clock
 from harecross.core.system_errors import AcceptFailure, accept_failure
 
 SHORTAGE_TRIES = 8  # in a row where this machine is short of something...
 SHORTAGE_PAUSE = 0.005  # ...and seconds until the next ones
+HANDSHAKE = 0.005  # seconds in which a handshake that has begun ends, between machines near one another
 WELCOME_TRIES = 200  # of setting up one connection, each `SHORTAGE_PAUSE` after the one before
 
 
@@ -133,6 +135,23 @@
         connection.close()
         self.dropped()
 
+    async def refuse_new(self) -> None:
+        """New handshakes get no answer from now on; those that have begun end, and wait to be taken.
+
+        Guards against: what the kernel takes between the last accept and the close is reset. Not for a socket that
+        another process shares, which would get no connection either.
+        """
+        for _ in range(SHORTAGE_TRIES):
+            try:
+                refuse_new_connections(self.sock)
+            except OSError as error:
+                failed = error
+                await asyncio.sleep(SHORTAGE_PAUSE)
+            else:
+                await asyncio.sleep(HANDSHAKE)
+                return
+        say(f"connections that come at the very end may be reset: {failed.strerror}")
+
     async def close(self) -> None:
         """Closes the socket, and waits for connections that are being set up."""
         self.stop()
--- a/harecross/core/stopping.py
+++ b/harecross/core/stopping.py
@@ -11,14 +11,16 @@
 
 KILL_MOST = 3.0  # of the longest deadline, so much counts
 BEFORE_KILL = 0.5  # after that deadline; the process is killed 0.7 after it
+COME_BACK = 0.05  # clients whose idle connection was closed connect again within this time
 STILL_COMING = 0.6  # connections come for 0.4
 COUNTED = 0.6  # what comes later is lost if SIGKILL finds it unanswered; 0.7, less what clocks may differ by
+CLOSE_TAKES = 0.05  # what has come by the time of the close has still to be taken
 LAST_REQUESTS = 0.2  # for requests on connections that came last
 
 
 @dataclass(frozen=True, slots=True)
 class Stopping:
-    """`leave` <= `close` < `end`, and `counted` < `end`."""
+    """`leave` < `close` < `end`, and `counted` <= `end`."""
 
     leave: float  # from now on connections end with their answers, and idle ones at once
     close: float  # no connection is taken any more
@@ -31,7 +33,9 @@
 
     Failure prevented: where answers take longer than is left, requests that come while others take over are killed
     half way. And a node that leaves at once where answers are quick is out, while its neighbour restarts too.
+    Where idle connections and the listener are closed in the same moment, clients that come back at once are not taken.
     """
     end = min(longest, KILL_MOST) + BEFORE_KILL
     leave = max(0.0, end - usual - LAST_REQUESTS)
-    return Stopping(leave, max(STILL_COMING, leave), COUNTED, end)
+    close = min(max(STILL_COMING, leave + COME_BACK), end - CLOSE_TAKES)
+    return Stopping(min(leave, close - COME_BACK), close, min(COUNTED, end), end)
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -339,7 +339,7 @@
             self.callers.leaving = True
             self.callers.close_idle()
             await asyncio.sleep(max(0.0, began + times.close - self.loop.time()))
-            await self.callers.close(by=began + times.end)
+            await self.callers.close(by=began + times.end, shared=self.inherited is not None)
         if self.callers.open:
             await asyncio.sleep(LAST_REQUESTS)
         while self.callers.busy():
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -164,18 +164,26 @@
             caller.transport.abort()
         return True
 
-    async def close(self, by: float) -> None:
+    async def close(self, by: float, shared: bool = False) -> None:
         """Closes the listener, once nothing waits any more; `by` that time of the loop at the latest.
 
-        Guards against: closing it resets what waits in its backlog, and a request that a caller has written
-        to such a connection counts as taken.
+        `shared`: another process may have the socket too. Guards against: closing it resets what waits in its
+        backlog, and a request that a caller has written to such a connection counts as taken.
         """
         assert self.listener is not None
         self.listener.stop()
+        await self.take_waiting(by)
+        if not shared:
+            await self.listener.refuse_new()
+            await self.take_waiting(by)
+        await self.listener.close()
+
+    async def take_waiting(self, by: float) -> None:
+        """Takes connections until none waits, or until that time of the loop."""
+        assert self.listener is not None
         while (backlog := self.accept()) is not Backlog.EMPTY and self.loop.time() < by:
             self.listener.stop()
             await asyncio.sleep(0 if backlog is Backlog.MORE else LOOK_AGAIN)
-        await self.listener.close()
 
     async def hand_over(self) -> None:
         """Takes no more: what waits on the listening socket is for the process that shares it."""
--- a/harecross/soak/oracle.py
+++ b/harecross/soak/oracle.py
@@ -166,7 +166,8 @@
             connection = "a new connection, sent again" if client.resent else "a new connection"
         lines.append(
             f"  client: id {client.id} {client.effect.name.lower()} to {client.node} on {connection},"
-            f" sent {client.sent - zero:.3f}, would wait {client.timeout:.3f} s, ended {client.ended - zero:.3f}: {end} {client.status or ''}"
+            f" sent {client.sent - zero:.3f}, would wait {client.timeout:.3f} s,"
+            f" ended {client.ended - zero:.3f}: {end} {client.status or ''}"
         )
         for attempt in records.servers:
             if attempt.id == client.id:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -514,6 +514,28 @@
         assert heard, "ended"
 
 
+def test_an_inherited_socket_takes_connections_after_a_process_that_served_alone_has_stopped(tmp_path):
+    """Whoever gave the socket may start the next process on it later."""
+
+    async def test(site: Site) -> None:
+        site.origins[0].answer_all()
+        old = start_process(site, tmp_path, 1, site.sock.fileno())
+        try:
+            await says(old, b"listening on")
+            old.send_signal(signal.SIGTERM)
+            assert await asyncio.to_thread(old.wait, 10) == 0
+        finally:
+            old.kill()
+            old.wait()
+            old.stderr.close()
+        async with site.node():
+            client = await site.client()
+            client.send()
+            assert (await client.answer())[0] == 200
+
+    with_site(test, tmp_path)
+
+
 def test_a_program_replaces_another_on_one_socket(tmp_path):
     async def test(site: Site) -> None:
         fd = site.sock.fileno()
--- /dev/null
+++ b/tests/test_refuse_new.py
@@ -0,0 +1,89 @@
+"""The end of a listening socket: who has begun to connect is served, who has not is refused, nobody is reset."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+
+import pytest
+
+from harecross.core import listener as listener_module
+from harecross.core.listener import Listener
+from harecross.core.refuse_new import refuse_new_connections
+from tests.node_support import run
+
+REFUSED_WITHIN = 5.0  # seconds; Linux asks again after one
+
+
+def listening_socket() -> socket.socket:
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.setblocking(False)
+    return sock
+
+
+def start_connect(address: tuple[str, int]) -> tuple[socket.socket, int]:
+    """A socket on its way to an address, and what connect(2) said of it."""
+    client = socket.socket()
+    client.setblocking(False)
+    return client, client.connect_ex(address)
+
+
+def test_handshakes_that_have_begun_are_taken_and_later_ones_refused_after_the_close():
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        after = socket.socket()
+        after.setblocking(False)
+        sock = listening_socket()
+        before = socket.create_connection(sock.getsockname())
+        before.sendall(b"request")
+        refuse_new_connections(sock)
+        connecting = asyncio.create_task(loop.sock_connect(after, sock.getsockname()))
+        await asyncio.sleep(0)
+        connection, _ = sock.accept()
+        with pytest.raises(BlockingIOError):
+            sock.accept()
+        sock.close()
+        assert connection.recv(100) == b"request"
+        connection.sendall(b"answer")
+        assert before.recv(100) == b"answer"
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.wait_for(connecting, REFUSED_WITHIN)
+        for each in (before, after, connection):
+            each.close()
+
+    run(test())
+
+
+def test_the_filter_holds_for_all_who_share_the_socket_so_a_shared_one_is_never_given_it():
+    sock = listening_socket()
+    other = sock.dup()
+    other.setblocking(False)
+    refuse_new_connections(sock)
+    client, said = start_connect(sock.getsockname())
+    with pytest.raises(BlockingIOError):
+        other.accept()
+    assert said == errno.EINPROGRESS
+    for each in (sock, other, client):
+        each.close()
+
+
+def test_a_filter_that_the_kernel_has_no_memory_for_is_set_a_moment_later(monkeypatch):
+    async def test() -> None:
+        failures = [OSError(errno.ENOMEM, "Cannot allocate memory")] * 3
+
+        def refuse(sock: socket.socket) -> None:
+            if failures:
+                raise failures.pop()
+            refuse_new_connections(sock)
+
+        monkeypatch.setattr(listener_module, "refuse_new_connections", refuse)
+        sock = listening_socket()
+        listener = Listener(sock, lambda waiting: asyncio.Protocol(), lambda: None)
+        await listener.refuse_new()
+        client, said = start_connect(sock.getsockname())
+        assert said == errno.EINPROGRESS and not failures
+        await listener.close()
+        client.close()
+
+    run(test())
--- /dev/null
+++ b/tests/test_stopping.py
@@ -0,0 +1,26 @@
+"""The times of a stop, for every deadline and speed."""
+
+from __future__ import annotations
+
+import pytest
+
+from harecross.core.stopping import stopping
+
+CONNECTIONS_COME = 0.4  # seconds after SIGTERM (PROTOCOL, "Figures")
+KILL_AFTER = 0.7  # seconds after the longest deadline, of which 3 s count
+SCHEDULING = 0.05  # seconds that a busy machine may take from the last of them
+
+
+@pytest.mark.parametrize("longest", [0.01, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 2.0, 3.0, 10.0])
+@pytest.mark.parametrize("usual", [0.0, 0.01, 0.1, 0.5, 2.0, 5.0])
+def test_the_times_of_a_stop_come_in_their_order_before_the_kill(longest, usual):
+    times = stopping(longest, usual)
+    assert 0 <= times.leave < times.close < times.end
+    assert times.close > CONNECTIONS_COME
+    assert times.counted <= times.end
+    assert times.end <= min(longest, 3.0) + KILL_AFTER - SCHEDULING
+
+
+def test_clients_whose_idle_connections_are_closed_find_the_listener_open_when_they_come_back():
+    times = stopping(1.0, 0.1)
+    assert times.close - times.leave >= 0.05 - 1e-9
