Test: the release's nodes hear discovery before their doors are asked

Its scripted discovery never told a list, and `status` says "waiting for discovery" for the first second of such a node: the test passed only where its commands took longer than that.

Change: the test's discovery tells each node the list, and the nodes have read it before the first command. What is asserted is as it was.

--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -12,7 +12,7 @@
 from random import Random
 
 import pytest
-from node_support import Catalog, Origin, config_of, entry, run, until, update
+from node_support import Catalog, Origin, config_of, entry, line, run, until, update
 
 from harecross.core.roster import IN_USE, OUT
 from harecross.doors.ask import Look, Row, Said
@@ -224,8 +224,9 @@
     async def start(self) -> Site:
         self.origins = [await Origin().start() for _ in range(3)]
         self.catalog = await Catalog().start()
-        self.nodes, self.tasks = [], []
-        known = update(1, *(entry(f"s{i}", o.address) for i, o in enumerate(self.origins)), reset=True)
+        self.nodes, self.tasks, self.watches = [], [], []
+        entries = [entry(f"s{i}", o.address) for i, o in enumerate(self.origins)]
+        known = update(1, *entries, reset=True)
         rules = {
             "rules": {"cold": 300_000, "start_capacity": 0.4, "fall_multiple": 3.0, "tip_after": 1_000_000}
         }
@@ -237,6 +238,11 @@
             self.nodes.append(node)
             self.tasks.append(asyncio.create_task(node.run()))
             await node.ready.wait()
+            # Until discovery has told a list, or for a second, `status` says no.
+            _, watch = await self.catalog.watches.get()
+            self.watches.append(watch)
+            self.catalog.push(watch, line(2, *entries))
+            await until(node.operations.heard)
         return self
 
     def at(self) -> list[str]:
