Soak: a fault proxy between nodes and servers

Change: harecross/soak/proxy.py delays, holds requests or answers for a while, resets in the middle of an answer, half-closes in its place, passes it in pieces; drawn from a seed of its own, so that plans keep what they had. A request is judged by when it came to the proxy. Discoveries go on failing by themselves: what is written there counts as told.

--- a/harecross/soak/discoveries.py
+++ b/harecross/soak/discoveries.py
@@ -179,6 +179,8 @@
         for at in range(0, len(text), size):
             if at:
                 await asyncio.sleep(PIECE_PAUSE)
+            if writer.is_closing():
+                raise ConnectionError("the node has closed its watch")
             writer.write(text[at : at + size])
         await writer.drain()
 
--- a/harecross/soak/plan.py
+++ b/harecross/soak/plan.py
@@ -64,6 +64,28 @@
     half_close: float  # it ends its sending before any answer
 
 
+class LinkFaultKind(Enum):
+    """What goes wrong between nodes and a server."""
+
+    DELAY = "delay"  # each way, of `seconds`
+    REQUESTS_HELD = "requests held"  # until the end; the server has them then
+    ANSWERS_HELD = "answers held"  # until the end
+    RESET = "reset"  # in the middle of an answer
+    HALF_CLOSE = "half-close"  # an end in the place of an answer
+    PIECES = "pieces"  # an answer comes some bytes at a time
+
+
+class LinkFault(NamedTuple):
+    """One fault between nodes and a server. Times in seconds of the run; `probability` is of each answer."""
+
+    server: str
+    kind: LinkFaultKind
+    start: float
+    end: float
+    probability: float = 0.0
+    seconds: float = 0.0
+
+
 class ListChange(NamedTuple):
     """The truth changes for some servers at once. `lifecycle` is discovery's word, or `restarted`."""
 
@@ -109,6 +131,7 @@
     events: tuple[NodeEvent, ...]
     calls: dict[str, tuple[CallFault, ...]]  # by node; without a compiler they are left out
     clock: dict[str, tuple[ClockStep, ...]]
+    links: tuple[LinkFault, ...]  # servers that are named stand behind a proxy
 
 
 def make_plan(seed: int, seconds: float = 14.0, nodes_most: int = 3) -> Plan:
@@ -138,6 +161,7 @@
         events=events,
         calls={node: draw_calls(rng, seconds, emphasis) for node in nodes},
         clock={node: draw_clock(rng, seconds) for node in nodes},
+        links=draw_links(Random(f"{seed}/links"), [s.name for s in servers], seconds),
     )
 
 
@@ -274,3 +298,25 @@
         return ()
     step = rng.choice([-3600.0, -5.0, 5.0, 3600.0])
     return (ClockStep(rng.uniform(1, seconds), step),)
+
+
+LINK_FAULTS_MOST = 4  # of one run
+HELD_MOST = 1.5  # seconds that a direction is silent
+DELAY_MOST = 0.06  # seconds
+
+
+def draw_links(rng: Random, names: list[str], seconds: float) -> tuple[LinkFault, ...]:
+    """Faults between nodes and some of the servers, in every second run."""
+    if rng.random() < 0.5:
+        return ()
+    faults = []
+    for _ in range(rng.randint(1, LINK_FAULTS_MOST)):
+        kind = rng.choice(list(LinkFaultKind))
+        start = rng.uniform(1, seconds - QUIET_END)
+        held = kind in (LinkFaultKind.REQUESTS_HELD, LinkFaultKind.ANSWERS_HELD)
+        lasts = rng.uniform(0.2, HELD_MOST) if held else rng.uniform(0.5, 4.0)
+        probability = rng.choice([0.1, 0.5]) if not held and kind is not LinkFaultKind.DELAY else 0.0
+        delay = rng.uniform(0.005, DELAY_MOST) if kind is LinkFaultKind.DELAY else 0.0
+        end = min(start + lasts, seconds)
+        faults.append(LinkFault(rng.choice(names), kind, start, end, probability, delay))
+    return tuple(faults)
--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -167,7 +167,10 @@
     def __init__(self, plan: Plan, folder: Path, shim: Path | None) -> None:
         self.plan = plan
         self.records = Records()
-        self.servers = {s.name: SoakServer(s, plan.seed, self.records) for s in plan.servers}
+        self.servers = {
+            s.name: SoakServer(s, plan.seed, self.records, [f for f in plan.links if f.server == s.name])
+            for s in plan.servers
+        }
         self.nodes = {name: SoakNode(plan, name, folder, self.records, shim) for name in plan.nodes}
         self.tasks: set[asyncio.Task[None]] = set()
         self.began = 0.0
@@ -180,6 +183,8 @@
             watchers = [asyncio.create_task(self.look_at_lag())]
             watchers += [asyncio.create_task(n.watch_process()) for n in self.nodes.values()]
             self.began = time.monotonic()
+            for server in self.servers.values():
+                server.begin(self.began)
             end = self.began + self.plan.seconds
             clients = [asyncio.create_task(n.clients.run(end)) for n in self.nodes.values()]
             await self.play()
--- a/harecross/soak/servers.py
+++ b/harecross/soak/servers.py
@@ -5,10 +5,12 @@
 import asyncio
 import os
 import time
+from collections.abc import Sequence
 from random import Random
 from typing import cast
 
-from harecross.soak.plan import ServerPlan
+from harecross.soak.plan import LinkFault, ServerPlan
+from harecross.soak.proxy import FaultProxy, Relay
 from harecross.soak.records import Ran, Records, ServerRecord
 from harecross.standins.http import answer, header
 
@@ -30,7 +32,10 @@
 class SoakServer:
     """One server: its process of the moment and its listener, at one address all along."""
 
-    def __init__(self, plan: ServerPlan, seed: int, records: Records) -> None:
+    def __init__(
+        self, plan: ServerPlan, seed: int, records: Records, faults: Sequence[LinkFault] = ()
+    ) -> None:
+        """`faults` are those of its link; without any there is no proxy before it."""
         self.plan = plan
         self.rng = Random(f"{seed}/{plan.name}")
         self.records = records
@@ -39,10 +44,19 @@
         self.links: set[Link] = set()
         self.listener: asyncio.Server | None = None
         self.port = 0
+        self.proxy: FaultProxy | None = None
+        if faults:
+            self.proxy = FaultProxy(own_host(), faults, Random(f"{seed}/{plan.name}/link"))
 
     @property
     def address(self) -> str:
-        return f"{own_host()}:{self.port}"
+        """Where nodes connect."""
+        return f"{own_host()}:{self.proxy.port if self.proxy is not None else self.port}"
+
+    def begin(self, at: float) -> None:
+        """The run began at that monotonic time."""
+        if self.proxy is not None:
+            self.proxy.began = at
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -50,9 +64,13 @@
             lambda: Link(self), own_host(), self.port, reuse_address=True
         )
         self.port = self.listener.sockets[0].getsockname()[1]
+        if self.proxy is not None:
+            await self.proxy.open(self.port)
 
     def close(self) -> None:
         """The process dies: its connections are reset, new ones refused."""
+        if self.proxy is not None:
+            self.proxy.close()
         if self.listener is not None:
             self.listener.close()
             self.listener = None
@@ -100,7 +118,7 @@
 
     def data_received(self, data: bytes) -> None:
         if not self.buffer:
-            self.first_byte = time.monotonic()
+            self.first_byte = self.when_sent()
         self.buffer += data
         head, found, body = self.buffer.partition(b"\r\n\r\n")
         if not found or len(body) < int(header(head, b"Content-Length") or 0):
@@ -108,8 +126,23 @@
         self.buffer = b""
         self.take(head)
 
+    def relay(self) -> Relay | None:
+        """The proxy's end of this connection."""
+        if self.server.proxy is None or self.transport is None:
+            return None
+        return self.server.proxy.relays.get(self.transport.get_extra_info("peername")[1])
+
+    def when_sent(self) -> float:
+        """When the first byte came that comes now, at the proxy if there is one: from then on its sender is judged."""
+        relay = self.relay()
+        came = relay.request_came if relay is not None else None
+        return time.monotonic() if came is None else came
+
     def take(self, head: bytes) -> None:
         """A whole request has come."""
+        relay = self.relay()
+        if relay is not None:
+            relay.request_came = None
         plan, rng = self.server.plan, self.server.rng
         self.record = ServerRecord(
             header(head, b"X-Request-ID").decode("latin-1"),
