Soak judges slow start and holds stops up; a failed seed's report is kept

Half of the runs about restarts hold a node up just before it closes its listening socket. Failed seeds' reports are written to a folder. Two mutations more.

--- a/benchmarks/soak_mutations.py
+++ b/benchmarks/soak_mutations.py
@@ -124,6 +124,18 @@
         "        while self.callers.busy():\n            await asyncio.sleep(0.01)\n",
         "",
     ),
+    Mutation(
+        "a listener is closed while connections still come",
+        "node/callers.py",
+        "        if not shared:\n",
+        "        if False:\n",
+    ),
+    Mutation(
+        "a cold server gets what a warm one does",
+        "policy/draw.py",
+        "        rate = self.warm_rate * self.warmth(now, srv)\n",
+        "        return True\n        rate = self.warm_rate * self.warmth(now, srv)\n",
+    ),
 ]
 
 
--- a/harecross/soak/__main__.py
+++ b/harecross/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import sys
+import time
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
@@ -37,6 +38,14 @@
     return uvloop.run(one())
 
 
+def keep_report(folder: Path, seed: int, lines: list[str]) -> None:
+    """Writes the report of a seed that broke a rule: a failure is traced, and its output may be cut or lost."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"soak-seed-{seed}-{time.strftime('%Y%m%dT%H%M%S')}.txt"
+    path.write_text("\n".join(lines) + "\n")
+    print(f"report kept: {path}", flush=True)
+
+
 def main() -> int:
     """0 if no rule was broken, 1 otherwise, 2 for bad arguments."""
     parser = argparse.ArgumentParser(prog="python -m harecross.soak", description=__doc__)
@@ -45,6 +54,9 @@
     parser.add_argument("--seconds", type=float, default=14.0, help="of load in each (14)")
     parser.add_argument("--nodes", type=int, default=3, help="at most, 1 to 14 (3)")
     parser.add_argument("--side-by-side", type=int, default=2, help="runs at once (2)")
+    parser.add_argument(
+        "--reports", type=Path, default=Path("logs"), help="folder of failed seeds' reports (logs)"
+    )
     told = parser.parse_args()
     if told.seeds < 1 or told.seconds < 8 or not 1 <= told.nodes <= 14 or told.side_by_side < 1:
         parser.error("seeds from 1, seconds from 8, nodes 1 to 14, side by side from 1")
@@ -57,11 +69,13 @@
             pool.submit(play, seed, told.seconds, told.nodes, shim)
             for seed in range(told.first, told.first + told.seeds)
         ]
-        for run in runs:
+        for seed, run in enumerate(runs, told.first):
             broken, _, lines = run.result()
             failed += broken > 0
             void += broken < 0
             print("\n".join(lines), flush=True)
+            if broken > 0:
+                keep_report(told.reports, seed, lines)
     print(f"{told.seeds - failed - void} passed, {failed} failed, {void} void")
     return 1 if failed else 0
 
--- a/harecross/soak/oracle.py
+++ b/harecross/soak/oracle.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from harecross.soak.records import ClientRecord, Effect, End, Ran, Records, ServerRecord
+from harecross.soak.slow_start import SlowStart, Terms
 
 GRACE = 0.3  # seconds after a drain was told, 250 ms and the sockets' slack of 50
 CLIENT_GONE = 0.1  # an attempt that begins so long after its client closed is a break
@@ -29,6 +30,7 @@
     DRAIN = "drain"
     CLIENT_GONE = "client gone"
     DEADLINE = "deadline"
+    SLOW_START = "slow start"
     CRASH = "crash"
 
 
@@ -68,6 +70,7 @@
             for attempt in attempts:
                 found += self.drains(client, attempt)
                 found += self.times(client, attempt)
+        found += self.slow_starts()
         return sorted(found, key=lambda breach: breach.at)
 
     # ---- the rules --------------------------------------------------------------------------------------
@@ -148,6 +151,14 @@
                 Rule.DEADLINE, attempt.first_byte, f"{over:.3f} s more than its client has", client.id
             )
 
+    def slow_starts(self) -> Iterator[Breach]:
+        """No cold server is pushed over."""
+        for fall in SlowStart(self.records, Terms()).falls():
+            text = (
+                f"{fall.server} got {fall.requests} requests of at most {fall.most:.1f}, {fall.age:.1f} s old"
+            )
+            yield Breach(Rule.SLOW_START, fall.at, text)
+
 
 def report(records: Records, breaches: list[Breach], most: int = 5) -> list[str]:
     """The timeline of what was broken, in the form of the operators' reports."""
--- a/harecross/soak/plan.py
+++ b/harecross/soak/plan.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from harecross.soak.records import Effect
-from harecross.soak.shim import CUT, CallFault, ClockStep
+from harecross.soak.shim import CUT, HELD_UP, CallFault, ClockStep
 
 QUIET_END = 3.0  # seconds at the end of a run without new trouble
 OLD_WATCH = 1.5  # seconds that a discovery that has been left keeps its watches open
@@ -159,7 +159,13 @@
         changes=tuple(draw_changes(rng, [s.name for s in servers], seconds, emphasis)),
         discoveries={node: draw_discoveries(rng, node, events) for node in nodes},
         events=events,
-        calls={node: draw_calls(rng, seconds, emphasis) for node in nodes},
+        calls={
+            node: (
+                *draw_calls(rng, seconds, emphasis),
+                *draw_closing(Random(f"{seed}/{node}/closing"), emphasis),
+            )
+            for node in nodes
+        },
         clock={node: draw_clock(rng, seconds) for node in nodes},
         links=draw_links(Random(f"{seed}/links"), [s.name for s in servers], seconds),
     )
@@ -293,6 +299,13 @@
     return tuple(faults)
 
 
+def draw_closing(rng: Random, emphasis: Emphasis) -> tuple[CallFault, ...]:
+    """Some nodes that stop are held up just before they close their listening socket."""
+    if emphasis is Emphasis.RESTARTS and rng.random() < 0.5:
+        return (CallFault("close_listener", HELD_UP, 1.0, 0.0, 1000.0),)
+    return ()
+
+
 def draw_clock(rng: Random, seconds: float) -> tuple[ClockStep, ...]:
     if rng.random() < 0.6:
         return ()
--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -17,6 +17,7 @@
 from harecross.soak.records import Change, Records, SignalRecord
 from harecross.soak.servers import SoakServer, own_host
 from harecross.soak.shim import environment
+from harecross.soak.slow_start import Terms
 from harecross.standins.cluster import ClusterError, NodeProcess, node_settings
 
 KILL_AFTER = 0.7  # seconds after SIGTERM and the longest deadline
@@ -74,7 +75,7 @@
             "seed": f"{self.plan.seed * 100 + self.lives:x}",
             "limits": {"sockets": 1024, "memory_mb": 192},
             "known": self.discovery.whole(self.known_upto()),
-            "settings": node_settings(classes, len(self.plan.nodes)),
+            "settings": node_settings(classes, len(self.plan.nodes), rules=Terms().rules()),
         }
 
     def known_upto(self) -> int:
