Connections to servers in modules of one job: clock, exchange, connection, pool

Change: core/monotonic.py has the clock, core/exchange.py one message and the process it goes to, core/server_connection.py one connection, core/servers.py the pool; moved as they were, imports and tests follow.

--- a/harecross/core/directory.py
+++ b/harecross/core/directory.py
@@ -9,7 +9,8 @@
 
 from harecross.core.births import LONG_AGO, Births
 from harecross.core.host import Host, say
-from harecross.core.servers import Servers, clock
+from harecross.core.monotonic import clock
+from harecross.core.servers import Servers
 from harecross.interface import ListKind, ServerEntry, State
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
--- a/harecross/core/discovery.py
+++ b/harecross/core/discovery.py
@@ -11,9 +11,9 @@
 from harecross.core.asking import MOVED, Asking, End, Terms
 from harecross.core.directory import Directory, Lists
 from harecross.core.host import say
+from harecross.core.monotonic import clock
 from harecross.core.process_lines import describe
 from harecross.core.process_table import Outcome, ProcessTable, Source
-from harecross.core.servers import clock
 from harecross.core.watch import Watch
 from harecross.interface import ListKind
 
--- a/harecross/core/host.py
+++ b/harecross/core/host.py
@@ -11,9 +11,11 @@
 from typing import Protocol
 
 from harecross.core.closings import CloseReason, Closing
+from harecross.core.exchange import NEVER, Exchange
+from harecross.core.monotonic import clock
 from harecross.core.process_table import Transition
 from harecross.core.requests import Message
-from harecross.core.servers import NEVER, Exchange, Servers, clock
+from harecross.core.servers import Servers
 from harecross.core.standing import Standing
 from harecross.interface import NEVER_RAN, Effect, FinalReason, ListKind, Outcome, ServerEntry, Settings
 from harecross.policy.balancer import Balancer
--- a/harecross/core/listener.py
+++ b/harecross/core/listener.py
@@ -12,9 +12,9 @@
 from contextlib import suppress
 
 from harecross.core.host import say
+from harecross.core.monotonic import clock
 from harecross.core.read_delay import Heartbeat, WaitingSocket
 from harecross.core.refuse_new import refuse_new_connections
-from harecross.core.servers import clock
 from harecross.core.system_errors import AcceptFailure, accept_failure
 
 SHORTAGE_TRIES = 8  # in a row where this machine is short of something...
--- /dev/null
+++ b/harecross/core/monotonic.py
@@ -0,0 +1,10 @@
+"""The clock of all decisions: monotonic, never the wall clock, which may be stepped."""
+
+from __future__ import annotations
+
+from time import monotonic_ns
+
+
+def clock() -> int:
+    """The module's time: monotonic microseconds."""
+    return monotonic_ns() // 1000
--- a/harecross/node/__main__.py
+++ b/harecross/node/__main__.py
@@ -18,9 +18,10 @@
 from harecross.core.directory import Directory, Lists
 from harecross.core.discovery import FORMER_MOST, Discovery
 from harecross.core.host import Host, say
+from harecross.core.monotonic import clock
 from harecross.core.requests import Reader
 from harecross.core.room import Room
-from harecross.core.servers import Servers, clock
+from harecross.core.servers import Servers
 from harecross.core.standing import Standing, Word, longest_wait
 from harecross.core.stopping import LAST_REQUESTS, stopping
 from harecross.node.callers import ACCEPTS, Callers
--- a/harecross/node/caller.py
+++ b/harecross/node/caller.py
@@ -14,10 +14,10 @@
 from harecross.core.bodies import BODY_LARGEST, BODY_MOST, Upload, too_many
 from harecross.core.closings import CloseReason, Closing
 from harecross.core.host import Request, guard
+from harecross.core.monotonic import clock
 from harecross.core.presence import has_left, is_quiet
 from harecross.core.read_delay import InfoSocket, ReadDelay, WaitingSocket
 from harecross.core.requests import HEAD_MOST, HEADERS_MOST, BadRequest, Message
-from harecross.core.servers import clock
 
 if TYPE_CHECKING:
     from harecross.node.callers import Callers
--- a/harecross/node/callers.py
+++ b/harecross/node/callers.py
@@ -9,10 +9,10 @@
 from harecross.core.closings import CloseReason, Closing
 from harecross.core.host import Host
 from harecross.core.listener import Listener
+from harecross.core.monotonic import clock
 from harecross.core.read_delay import Heartbeat
 from harecross.core.requests import Reader
 from harecross.core.room import Room
-from harecross.core.servers import clock
 from harecross.core.system_errors import AcceptFailure
 from harecross.node.caller import OWED, Caller
 
--- a/harecross/node/operations.py
+++ b/harecross/node/operations.py
@@ -13,8 +13,8 @@
 from harecross.core.durable import UnsyncedReplace
 from harecross.core.host import say
 from harecross.core.maintenance import Held, difference
+from harecross.core.monotonic import clock
 from harecross.core.roster import roster
-from harecross.core.servers import clock
 from harecross.node.callers import Callers
 from harecross.node.door import Answer, Door
 from harecross.node.store import Store
--- a/harecross/sources/run.py
+++ b/harecross/sources/run.py
@@ -14,7 +14,7 @@
 
 from harecross.core.directory import Directory
 from harecross.core.host import guard, say
-from harecross.core.servers import clock
+from harecross.core.monotonic import clock
 from harecross.sources.config import File, SourcesTable, Srv, name_of
 from harecross.sources.files import BadFile, read_file
 from harecross.sources.ledger import Credit, Priorities
--- a/harecross/xds/feed.py
+++ b/harecross/xds/feed.py
@@ -9,10 +9,12 @@
 
 from harecross.core.directory import Directory
 from harecross.core.discovery import Discovery
+from harecross.core.exchange import Exchange
 from harecross.core.host import Host, guard, say
 from harecross.core.lines import Roster
+from harecross.core.monotonic import clock
 from harecross.core.room import Room
-from harecross.core.servers import Exchange, Servers, clock
+from harecross.core.servers import Servers
 from harecross.interface import ClassSettings, Effect, Outcome, Settings
 from harecross.settings import COLUMNS, address
 from harecross.sources.run import Sources
--- a/harecross/xds/press.py
+++ b/harecross/xds/press.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from harecross.core.host import guard
-from harecross.core.servers import clock
+from harecross.core.monotonic import clock
 from harecross.xds.feed import Feed
 from harecross.xds.fleet import Fleet
 from harecross.xds.publish import Publisher, Told, calls_out
--- a/tests/node_support.py
+++ b/tests/node_support.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from harecross.core.servers import clock
+from harecross.core.monotonic import clock
 from harecross.node.__main__ import Node
 from harecross.node.config import config_from
 from harecross.standins.discovery import chunk, entry, line, update
--- a/tests/test_births.py
+++ b/tests/test_births.py
@@ -11,7 +11,7 @@
 
 from harecross.core import births
 from harecross.core.births import LONG_AGO, Births
-from harecross.core.servers import clock
+from harecross.core.monotonic import clock
 from tests.node_support import Catalog, World, entry, line, until, with_node
 
 SECOND = 1_000_000
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -11,8 +11,8 @@
 import pytest
 
 from harecross.core.listener import Listener
+from harecross.core.monotonic import clock
 from harecross.core.read_delay import Heartbeat, ReadDelay, WaitingSocket
-from harecross.core.servers import clock
 from harecross.core.system_errors import AcceptFailure
 from harecross.standins.cluster import NodeProcess
 from harecross.standins.discovery import Catalog
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -32,14 +32,17 @@
     with_node,
 )
 
-from harecross.core import asking, servers, stopping
+from harecross.core import asking, server_connection, stopping
 from harecross.core.answers import Answer, read_report, report_places
 from harecross.core.closings import CloseReason
 from harecross.core.directory import Directory
+from harecross.core.exchange import Exchange
 from harecross.core.host import Request
+from harecross.core.monotonic import clock
 from harecross.core.requests import time_left
 from harecross.core.room import Room
-from harecross.core.servers import Connection, Exchange, Servers, clock
+from harecross.core.server_connection import Connection
+from harecross.core.servers import Servers
 from harecross.interface import ListKind, Outcome, State
 from harecross.node import callers
 from harecross.node.__main__ import Node
@@ -57,7 +60,7 @@
 
 @pytest.fixture
 def _no_rest(monkeypatch):
-    monkeypatch.setattr(servers, "REST_MOST", 0)
+    monkeypatch.setattr(server_connection, "REST_MOST", 0)
 
 
 # Which connection comes next is asked right after an answer; how long one rests is in test_crossings_servers.py.
--- a/tests/test_reasons.py
+++ b/tests/test_reasons.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from harecross.core import servers
+from harecross.core import server_connection
 from harecross.core.closings import CloseReason
 from harecross.follow.attempts import AttemptLog
 from harecross.follow.reader import Event, read
@@ -178,7 +178,7 @@
 def test_the_end_of_a_connection_to_a_server_has_its_reason_and_its_request(
     happens, reason, request_id, tmp_path, monkeypatch
 ):
-    monkeypatch.setattr(servers, "REST_MOST", 0)
+    monkeypatch.setattr(server_connection, "REST_MOST", 0)
 
     async def test(w: World) -> None:
         logged = Logged(w, tmp_path / "log")
