Soak: in two of three runs some clients come on new connections while they keep others

Need: few new connections came, so that faults at accept and at a new connection's set-up met nobody.

--- a/harecross/soak/clients.py
+++ b/harecross/soak/clients.py
@@ -87,7 +87,7 @@
         timeout = round(told.deadline * self.rng.uniform(0.3, 1.0), 3)
         leaves = self.rng.uniform(0, timeout) if self.rng.random() < self.plan.leaves else None
         record = ClientRecord(f"{self.name}-{self.count}", self.life, told.effect, 0.0, timeout, True)
-        connection = None if anew else self.kept()
+        connection = None if anew or self.rng.random() < self.plan.anew else self.kept()
         record.fresh = connection is None
         for _ in range(1 + RESENDS):
             if connection is None:
--- a/harecross/soak/plan.py
+++ b/harecross/soak/plan.py
@@ -124,6 +124,7 @@
     nodes: tuple[str, ...]
     rate: float  # requests a second to one node
     leaves: float  # probability that a client leaves before its answer
+    anew: float  # probability that a request goes out on a new connection though one is kept
     crowd_at: float  # clients come as a crowd then, negative for never
     servers: tuple[ServerPlan, ...]
     changes: tuple[ListChange, ...]
@@ -154,6 +155,7 @@
         nodes,
         rate=rng.choice([20.0, 40.0, 60.0]),
         leaves=rng.choice([0.0, 0.03, 0.15]),
+        anew=Random(f"{seed}/anew").choice([0.0, 0.1, 0.5]),
         crowd_at=rng.uniform(2, seconds - QUIET_END) if rng.random() < 0.3 else -1.0,
         servers=servers,
         changes=tuple(draw_changes(rng, [s.name for s in servers], seconds, emphasis)),
