Soak: lists that are asked for, runs about silence that end in a late drain; a body in pieces

Need: three in ten runs now have a discovery that is asked, where a change counts 6 s after it was there to be asked for (tests/test_soak_discoveries.py); what an agent has counts whether or not a watch is open. Runs about a silent watch or a discovery that is down now drain servers while nobody hears it, and leave them so.

The time of a body in pieces counts from its last byte however late it is read: a test passes, and fails where unread time is not counted.

--- a/harecross/soak/discoveries.py
+++ b/harecross/soak/discoveries.py
@@ -15,6 +15,9 @@
 
 LOOK_EVERY = 0.01  # seconds between two looks at the truth
 WORD_EVERY = 1.8  # seconds without a change after which an empty line comes; the pages have 2
+LISTED_BINDING = (
+    6.0  # seconds after a list that is asked for has a change, and can be reached, by which it does
+)
 MOVED = 4.0  # seconds after SIGHUP by which all counts as told
 SILENT_BINDING = 6.0  # seconds after a watch fell silent by which what it missed does
 PIECE_PAUSE = 0.004  # seconds between two pieces of a line
@@ -33,10 +36,21 @@
     """One address that tells one node the list: an agent on the node's own machine."""
 
     def __init__(
-        self, plan: DiscoveryPlan, records: Records, node: str, address_of: Callable[[str], str], known: int
+        self,
+        plan: DiscoveryPlan,
+        records: Records,
+        node: str,
+        address_of: Callable[[str], str],
+        known: int,
+        asked: bool = False,
     ) -> None:
-        """`node` is the node's life that it tells; `known`: so many changes were known from the beginning."""
+        """`node` is the node's life that it tells; `known`: so many changes were known from the beginning.
+
+        `asked`: it is a service that nodes ask, else an agent on the node's own machine.
+        """
         self.plan = plan
+        self.asked = asked
+        self.due: dict[int, float] = {}  # where asked: when a change counts as told that has not been written
         self.records = records
         self.node = node
         self.address_of = address_of
@@ -58,6 +72,15 @@
     async def open(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
+        ticker = asyncio.create_task(self.look_on())
+        self.tasks.add(ticker)
+        ticker.add_done_callback(self.tasks.discard)
+
+    async def look_on(self) -> None:
+        """What it has counts as told whether or not a watch is open."""
+        while True:
+            self.look()
+            await asyncio.sleep(LOOK_EVERY)
 
     # ---- what it knows, and what counts as told ---------------------------------------------------------
 
@@ -70,6 +93,13 @@
         horizon = now - (0.0 if caught_up else self.plan.lag)
         while self.known < len(self.records.changes) and self.records.changes[self.known].at <= horizon:
             self.known += 1
+        if self.asked:
+            self.count_asked(now)
+        else:
+            self.count_pushed(now)
+
+    def count_pushed(self, now: float) -> None:
+        """What an agent has counts as told at once; what a silent watch misses a while after it fell silent."""
         binding = self.first or now >= self.active_from + MOVED
         if self.left or not binding:
             return
@@ -81,6 +111,17 @@
                 self.tell(number, now, "agent has it")
         self.told = self.known
 
+    def count_asked(self, now: float) -> None:
+        """What has not been written counts as told 6 s after it was there to be asked for."""
+        if self.left:
+            return
+        moved = 0.0 if self.first else self.active_from + MOVED
+        for number in range(self.told, self.known):
+            self.due[number] = max(now + LISTED_BINDING, moved)
+        self.told = self.known
+        for number in [n for n, due in self.due.items() if due <= now]:
+            self.tell(number, self.due.pop(number), f"{LISTED_BINDING:g} s after it was listed")
+
     def tell(self, number: int, at: float, how: str) -> None:
         self.records.told.append(ToldRecord(self.node, number, at, f"{how}, {self.address}"))
 
@@ -89,8 +130,16 @@
         now = time.monotonic()
         self.node, self.told = node, self.known
         self.active_from = min(self.active_from, now - MOVED)
+        if not self.asked:
+            for number in range(self.known):
+                self.tell(number, now, "agent has it at the start")
+            return
         for number in range(self.known):
-            self.tell(number, now, "agent has it at the start")
+            listed = self.records.changes[number].at + LISTED_BINDING
+            if listed <= now:
+                self.tell(number, now, f"listed {LISTED_BINDING:g} s before the start")
+            else:
+                self.due[number] = listed
 
     # ---- calls ------------------------------------------------------------------------------------------
 
@@ -115,6 +164,9 @@
             while True:
                 head, _ = await read_message(reader)
                 await asyncio.sleep(self.plan.answers_after)
+                if self.down and self.asked:
+                    writer.write(answer(503, b""))
+                    return
                 while self.down:
                     await asyncio.sleep(LOOK_EVERY)
                 path = head.split(b" ", 2)[1]
@@ -210,10 +262,14 @@
         self.close()
 
     async def go_down(self, seconds: float) -> None:
-        """Is silent and learns nothing for so long; what it gets at its return counts at once."""
+        """Learns nothing for so long. An agent is silent; a service that is asked ends its watches and fails calls."""
         self.down = True
+        if self.asked:
+            self.reset()
         await asyncio.sleep(seconds)
         self.down = False
+        reachable = time.monotonic() + LISTED_BINDING
+        self.due = {number: max(due, reachable) for number, due in self.due.items()}
         self.look()
 
     def close(self) -> None:
--- a/harecross/soak/plan.py
+++ b/harecross/soak/plan.py
@@ -14,6 +14,8 @@
 QUIET_END = 3.0  # seconds at the end of a run without new trouble
 OLD_WATCH = 1.5  # seconds that a discovery that has been left keeps its watches open
 CATCH_UP_MOST = 3.6  # seconds after SIGHUP by which a new discovery has all; the pages allow 4
+ASKED_PART = 0.3  # of the runs
+QUIET_BY = 1.5  # seconds by which a watch falls silent, or a discovery is down, in a run about that
 FIRST_MOVE = 1.5  # SIGHUP comes never in a node's first second
 
 
@@ -122,6 +124,7 @@
     seconds: float
     classes: tuple[ClassPlan, ...]
     nodes: tuple[str, ...]
+    asked: bool  # lists are asked for, of a service; else an agent pushes them
     rate: float  # requests a second to one node
     leaves: float  # probability that a client leaves before its answer
     anew: float  # probability that a request goes out on a new connection though one is kept
@@ -153,6 +156,7 @@
         seconds,
         classes,
         nodes,
+        asked=Random(f"{seed}/asked").random() < ASKED_PART,
         rate=rng.choice([20.0, 40.0, 60.0]),
         leaves=rng.choice([0.0, 0.03, 0.15]),
         anew=Random(f"{seed}/anew").choice([0.0, 0.1, 0.5]),
@@ -192,8 +196,8 @@
 def draw_changes(rng: Random, names: list[str], seconds: float, emphasis: Emphasis) -> list[ListChange]:
     """Groups of servers drain, are recalled without a restart, drain again, go and come back as new processes."""
     changes = []
-    pauses = [2.0, 4.0, 6.0] if emphasis.quiet else [0.2, 0.3, 0.6, 1.0, 2.0, 4.0]
-    at = rng.uniform(1.0, 3.0)
+    pauses = [8.0, 10.0] if emphasis.quiet else [0.2, 0.3, 0.6, 1.0, 2.0, 4.0]
+    at = rng.uniform(QUIET_BY if emphasis.quiet else 1.0, 3.0)
     lifecycles = dict.fromkeys(names, "in_service")
     while at < seconds - QUIET_END:
         away = [n for n in names if lifecycles[n] != "in_service"]
@@ -233,9 +237,12 @@
             at += rng.choice([0.3, 0.5, 1.0])
         at += rng.uniform(1.0, 6.0)
     if emphasis is Emphasis.MUTE:
-        events.append(NodeEvent(rng.uniform(0.5, 3.0), node, "mute"))
+        # Nothing else opens its watch again, and the next drain lasts until it is binding.
+        events.append(NodeEvent(rng.uniform(0.5, QUIET_BY), node, "mute"))
+        return events
     elif emphasis is Emphasis.DOWN:
-        events.append(NodeEvent(rng.uniform(0.5, 2.0), node, "down", rng.uniform(3.0, 7.0)))
+        events.append(NodeEvent(rng.uniform(0.5, QUIET_BY), node, "down", rng.uniform(3.0, 7.0)))
+        return events
     for _ in range(rng.randint(0, 2)):
         events.append(NodeEvent(rng.uniform(1, end), node, "mute"))
     if rng.random() < 0.4:
--- a/harecross/soak/proxy.py
+++ b/harecross/soak/proxy.py
@@ -21,6 +21,13 @@
 Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
+def write(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Writes to one side. ConnectionError where it has ended already."""
+    if writer.is_closing():
+        raise ConnectionError("this side has ended")
+    writer.write(data)
+
+
 class Relay:
     """One connection of a node and the one to the server that belongs to it."""
 
@@ -46,7 +53,7 @@
                 if self.request_came is None:
                     self.request_came = time.monotonic()
                 await self.proxy.hold(LinkFaultKind.REQUESTS_HELD)
-                writer.write(data)
+                write(writer, data)
         except ConnectionError:
             pass
         # The node has closed, which ends the server's work; nodes never close their sending side alone.
@@ -58,23 +65,24 @@
             while data := await reader.read(READ_MOST):
                 await self.proxy.hold(LinkFaultKind.ANSWERS_HELD)
                 if self.proxy.strikes(LinkFaultKind.RESET):
-                    writer.write(data[:CUT_AT])
+                    write(writer, data[:CUT_AT])
                     writer.transport.abort()
                     return
                 if self.proxy.strikes(LinkFaultKind.HALF_CLOSE):
                     break
                 await self.pass_on(data, writer)
-            writer.write_eof()
+            if not writer.is_closing():
+                writer.write_eof()
         except (ConnectionError, OSError):
             writer.transport.abort()
 
     async def pass_on(self, data: bytes, writer: asyncio.StreamWriter) -> None:
         """Writes what came, in pieces where the plan says so."""
         if not self.proxy.strikes(LinkFaultKind.PIECES):
-            writer.write(data)
+            write(writer, data)
             return
         for at in range(0, len(data), PIECE):
-            writer.write(data[at : at + PIECE])
+            write(writer, data[at : at + PIECE])
             await asyncio.sleep(PIECE_PAUSE)
 
 
--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -22,6 +22,7 @@
 
 KILL_AFTER = 0.7  # seconds after SIGTERM and the longest deadline
 RESTART_AFTER = 0.3
+ASK_WITHIN = 10_000_000  # microseconds: the longest silence allowed to a node without a watch
 COME_ANEW = 1.2  # seconds after SIGTERM for which clients open new connections all the time
 LAG_LOOK = 0.005  # seconds between two looks at how late this process is
 SETTLED = 0.5  # seconds after the load ends until the records are closed
@@ -75,7 +76,13 @@
             "seed": f"{self.plan.seed * 100 + self.lives:x}",
             "limits": {"sockets": 1024, "memory_mb": 192},
             "known": self.discovery.whole(self.known_upto()),
-            "settings": node_settings(classes, len(self.plan.nodes), rules=Terms().rules()),
+            "settings": node_settings(
+                classes,
+                len(self.plan.nodes),
+                rules={**Terms().rules(), "ask_within": ASK_WITHIN},
+                discovery="ask" if self.plan.asked else "push",
+                self_index=self.plan.nodes.index(self.name),
+            ),
         }
 
     def known_upto(self) -> int:
@@ -110,7 +117,7 @@
         plan = self.plan.discoveries[self.name][len(self.discoveries)]
         if process is None or not process.alive:
             return
-        new = SoakDiscovery(plan, self.records, self.life, old.address_of, 0)
+        new = SoakDiscovery(plan, self.records, self.life, old.address_of, 0, self.plan.asked)
         await new.open()
         self.discoveries.append(new)
         process.path.write_text(json.dumps({**process.config, "discovery": new.address}))
@@ -215,7 +222,7 @@
         for node in self.nodes.values():
             plan = self.plan.discoveries[node.name][0]
             known = len(self.records.changes)
-            first = SoakDiscovery(plan, self.records, node.life, self.address_of, known)
+            first = SoakDiscovery(plan, self.records, node.life, self.address_of, known, self.plan.asked)
             await first.open()
             node.discoveries.append(first)
         await asyncio.gather(*(node.start() for node in self.nodes.values()))
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -64,6 +64,38 @@
     run(test())
 
 
+def test_the_time_of_a_body_in_pieces_counts_from_its_last_byte_however_late_that_is_read(tmp_path):
+    async def test() -> None:
+        origin, catalog = await Origin().start(), await Catalog().start()
+        catalog.put(entry("s0", origin.address))
+        node = NodeProcess("n0", tmp_path, config_of(catalog.address, known=catalog.whole()))
+        try:
+            await node.start(None)
+            client = await Client.open(node.address)
+            client.writer.write(
+                b"POST /put/1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: r\r\nIdempotency-Key: k\r\nX-Timeout: 800m\r\n"
+                b"Content-Length: 8\r\n\r\n1234"
+            )
+            await asyncio.sleep(0.2)  # of a client that writes slowly: none of its time has passed
+            node.signal(signal.SIGSTOP)
+            client.writer.write(b"56")
+            await asyncio.sleep(0.1)
+            client.writer.write(b"78")
+            sent = time.monotonic()
+            await asyncio.sleep(HELD)
+            node.signal(signal.SIGCONT)
+            arrived = await origin.arrived.get()
+            left = sent + 0.8 - time.monotonic()
+            assert left - 0.1 < seconds(arrived.header(b"X-Timeout")) <= left + 0.03
+            assert arrived.body == b"12345678"
+            arrived.answer()
+            assert (await client.answer())[0] == 200
+        finally:
+            await node.end()
+
+    run(test())
+
+
 def test_what_waited_in_the_backlog_while_the_node_started_has_so_much_less_time(tmp_path):
     async def test() -> None:
         origin = await Origin().start()
