--- a/review/rig.py
+++ b/review/rig.py
@@ -67,6 +67,11 @@
             await ending()
 
 
+def end_with_parent() -> None:
+    """Runs in a new process: the kernel kills it when this process ends."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def free_port(host: str) -> int:
     """Returns a free TCP port of a loopback host."""
     with socket.socket() as probe:
@@ -220,7 +225,7 @@
 
     def prepare_process(self) -> None:
         """Runs in the new process: ends it with this one, and gives the clients' socket its descriptor number."""
-        ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+        end_with_parent()
         if self.listener is not None:
             os.dup2(self.listener.fileno(), INHERITED_DESCRIPTOR)
 
