--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,138 +1,96 @@
-"""A planned restart cuts answers off that clients read slowly."""
+"""A server that left the list is used again when the new discovery counts as caught up."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
-import socket
 import sys
-from dataclasses import dataclass
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from rig import (
-    LATEST,
-    LOG_READING,
-    Agent,
-    Case,
-    Node,
-    Received,
-    Server,
-    entry,
-    request_bytes,
-    response,
-    run_case,
-    settings,
-)
+from rig import Agent, Case, Node, Received, Server, entry, read_message, request_bytes, response, run_case
 
-NODES = 6
-KILL_AFTER_S = (
-    3.0 + 0.7
-)  # PROTOCOL: SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM
-BEFORE_SIGTERM_S = 0.5
-READ_BYTES_PER_S = 100_000
-READ_INTERVAL_S = 0.05
-FIRST_BODY, BODY_STEP = (
-    400_000,
-    30_000,
-)  # the answers of the first node, and how much longer those of the next are
-CLIENTS = 3  # of each node; their answers differ by a third of the step
+GRACE_S = 0.25 + 0.05  # stop_sending_within, and the 50 ms that PROTOCOL adds on sockets
+DRAIN_AT_S = 2.0
+NEW_CONFIGURATION_AT_S = 3.0
+SECOND_AGENT_TOLD_AT_S = 5.6  # 3.6 s after the drain; the site file says 1.2 to 3.8 s
+END_AT_S = 14.0
+REQUESTS_PER_S = 20
 
 
-@dataclass
-class Download:
-    """One answer: its length, and how many of its bytes a client has got."""
+async def answer_soon(server: Server, request: Received, writer: asyncio.StreamWriter) -> None:
+    """Answers after 30 ms."""
+    await asyncio.sleep(0.03)
+    writer.write(response("200 OK", f"{server.name} {request.id}".encode()))
 
-    name: str
-    length: int = 0
-    received: int = 0
-    end: str = "open"
 
-
-async def answer_large(server: Server, request: Received, writer: asyncio.StreamWriter) -> None:
-    """Answers after 100 ms with as many bytes as the path says, given at once."""
-    await asyncio.sleep(0.1)
-    writer.write(response("200 OK", server.name[-1:].encode() * int(request.target.rpartition("-")[2])))
-
-
-async def download(case: Case, node: Node, item: Download, body_bytes: int) -> None:
-    """Sends one request and reads its answer at a steady rate."""
-    loop = asyncio.get_running_loop()
-    client = socket.socket()
-    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
-    client.settimeout(0)
-    data = b""
-    try:
-        await loop.sock_connect(client, (node.host, node.port))
-        await loop.sock_sendall(client, request_bytes("latest", f"{item.name}-{body_bytes}", 2500))
-        while not item.length or item.received < item.length:
-            part = await loop.sock_recv(client, int(READ_BYTES_PER_S * READ_INTERVAL_S))
-            if not part:
-                item.end = "closed"
-                break
-            item.received += len(part)
-            data = (data + part)[:1000]
-            head, found, _ = data.partition(b"\r\n\r\n")
-            if found and not item.length:
-                assert b" 200 " in head, head
-                item.length = len(head) + 4 + body_bytes
-            await asyncio.sleep(READ_INTERVAL_S)
-        else:
-            item.end = "whole"
-    except ConnectionError as error:
-        item.end = type(error).__name__
-    finally:
-        client.close()
-    case.record.write(f"client: {item.name}: {item.received} of {item.length} bytes, {item.end}")
-
-
-async def restart(case: Case, node: Node, first_body: int) -> bool:
-    """Restarts one node under its clients; returns whether the rule held there."""
-    record = case.record
-    items = [Download(f"{node.name}-{number}") for number in range(CLIENTS)]
-    tasks = [
-        asyncio.create_task(download(case, node, item, first_body + number * BODY_STEP // CLIENTS))
-        for number, item in enumerate(items)
-    ]
-    await asyncio.sleep(BEFORE_SIGTERM_S)
-    ended_itself = False
-    if case.trouble:
-        assert node.process is not None
-        node.signal(signal.SIGTERM)
-        began = record.now()
-        try:
-            async with asyncio.timeout(KILL_AFTER_S):
-                status = await node.process.wait()
-            ended_itself = True
-            record.write(f"{node.name}: ended with {status} {record.now() - began:.2f} s after SIGTERM")
-        except TimeoutError:
-            node.signal(signal.SIGKILL)
-    await asyncio.gather(*tasks)
-    cut = [item.name for item in items if item.end != "whole"]
-    record.write(f"{node.name}: ended itself: {ended_itself}; not answered whole: {cut}")
-    # What SIGKILL finds unanswered is excused, since it came before SIGTERM.
-    return not (cut and (ended_itself or not case.trouble))
+async def send_requests(case: Case, node: Node, client: int, answers: list[str]) -> None:
+    """Sends requests one after another on a kept connection."""
+    number = 0
+    while True:
+        reader, writer = await asyncio.open_connection(node.host, node.port)
+        head = b""
+        while b"connection: close" not in head.lower():
+            request_id = f"c{client}-{number}"
+            number += 1
+            writer.write(request_bytes("latest", request_id, 2500))
+            head, body = await read_message(reader)
+            status = head.split(b" ", 2)[1].decode()
+            case.record.write(f"client {client}: {request_id}: {status} {body.decode()}")
+            answers.append(status)
+            await asyncio.sleep(4 / REQUESTS_PER_S)
+        writer.close()
 
 
 async def play(case: Case) -> bool:
-    """Returns whether no node ended by itself before it had answered what it had taken."""
-    agent = Agent(case, "discovery", 41)
-    servers = [Server(case, f"s-{number}", answer_large) for number in (1, 2, 3, 4)]
+    """Returns whether no request reached the server that the last whole list left out."""
+    record = case.record
+    first, second = Agent(case, "discovery-1", 41), Agent(case, "discovery-2", 70)
+    servers = [Server(case, f"s-{number}", answer_soon) for number in (1, 2, 3)]
     for server in servers:
         await server.start()
-    await agent.start()
-    agent.instances = {server.name: entry(server.name, server.address) for server in servers}
-    nodes = []
-    for number in range(NODES):
-        node = Node(case, agent, settings([LATEST, LOG_READING], group_size=NODES, self_index=number))
-        node.name = f"n{number}"
-        node.config["name"] = node.name
-        node.temporary = case.temporary / f"{node.name}-tmp"
-        await node.start()
-        nodes.append(node)
-    held = [await restart(case, node, FIRST_BODY + BODY_STEP * number) for number, node in enumerate(nodes)]
-    return all(held)
+    for agent in (first, second):
+        await agent.start()
+        agent.instances = {server.name: entry(server.name, server.address) for server in servers}
+    node = Node(case, first)
+    await node.start()
+    began = record.now()
+
+    async def at(seconds: float) -> None:
+        await asyncio.sleep(max(0.0, began + seconds - record.now()))
+
+    answers: list[str] = []
+    clients = [asyncio.create_task(send_requests(case, node, number, answers)) for number in range(4)]
+    leaving = servers[0]
+    await at(DRAIN_AT_S)
+    first.put(entry(leaving.name, leaving.address, "terminating"))
+    await at(NEW_CONFIGURATION_AT_S)
+    last = first
+    if case.trouble:
+        last = second
+        node.config["discovery"] = second.address
+        node.write_config()
+        node.signal(signal.SIGHUP)
+        retired = asyncio.create_task(first.retire())
+    await at(SECOND_AGENT_TOLD_AT_S)
+    del last.instances[leaving.name]
+    last.generation += 1
+    last.end_watches()
+    await at(END_AT_S)
+    if case.trouble:
+        await retired
+    for client in clients:
+        if client.done():
+            await client
+        client.cancel()
+    told = last.whole_list_sent_at
+    if told is None or "200" not in answers:
+        raise RuntimeError("the node has not got the whole list, or nothing was served")
+    late = [(at_s, request.id) for at_s, request in leaving.received if at_s > told + GRACE_S]
+    record.write(f"{leaving.name} was left out of the whole list sent at {told:.4f}")
+    record.write(f"answers: {len(answers)}; sent to {leaving.name} later than {GRACE_S} s after that: {late}")
+    return not late
 
 
 run_case(__file__, play)
--- /dev/null
+++ b/review/probes/hang/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../../run.sh" probes/hang
