Review cases: record what is sent, and uploads in case 3

Cause: record.txt is to say what was sent; case 3 sent only requests that are safe to repeat. Change: each client notes what it sends; half of the requests of case 3 are uploads.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,6 +85,7 @@
     ) -> bytes:
         """Sends one request and returns the head of its answer."""
         data = request_bytes("alert-set", request_id, DEADLINE_MS, body)
+        self.case.record.write(f"client: {request_id}: sends {len(body)} bytes")
         writer.write(data[:first])
         if first < len(data):
             await writer.drain()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -137,6 +137,7 @@
         while b"connection: close" not in head.lower():
             number += 1
             request_id = f"c{client}-{number}"
+            case.record.write(f"client: {request_id}: sends")
             writer.write(request_bytes("latest", request_id, 2500))
             head, body = await read_message(reader)
             answers[request_id] = head.split(b" ", 2)[1].decode(), body.decode()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -34,7 +34,12 @@
         while b"connection: close" not in head.lower():
             request_id = f"c{client}-{number}"
             number += 1
-            writer.write(request_bytes("latest", request_id, 2500))
+            if number % 2:
+                data = request_bytes("latest", request_id, 2500)
+            else:
+                data = request_bytes("log-reading", request_id, 3000, b"reading", f"key-{request_id}")
+            case.record.write(f"client {client}: {request_id}: sends")
+            writer.write(data)
             head, body = await read_message(reader)
             status = head.split(b" ", 2)[1].decode()
             case.record.write(f"client {client}: {request_id}: {status} {body.decode()}")
@@ -87,7 +92,11 @@
     told = last.whole_list_sent_at
     if told is None or "200" not in answers:
         raise RuntimeError("the node has not got the whole list, or nothing was served")
-    late = [(at_s, request.id) for at_s, request in leaving.received if at_s > told + GRACE_S]
+    late = [
+        (round(at_s, 2), request.method, request.id)
+        for at_s, request in leaving.received
+        if at_s > told + GRACE_S
+    ]
     record.write(f"{leaving.name} was left out of the whole list sent at {told:.4f}")
     record.write(f"answers: {len(answers)}; sent to {leaving.name} later than {GRACE_S} s after that: {late}")
     return not late
--- a/review/probes/hang/case.py
+++ b/review/probes/hang/case.py
@@ -90,6 +90,7 @@
         await loop.sock_connect(client, (node.host, node.port))
         timeout_ms = int(DEADLINE_S * 1000)
         data = request_bytes("log-reading", upload.name, timeout_ms, body, key=f"key-{upload.name}")
+        case.record.write(f"client: {upload.name}: sends {len(body)} bytes")
         await loop.sock_sendall(client, data)
         upload.written_at = case.record.now()
         reader, writer = await asyncio.open_connection(sock=client)
--- a/review/probes/restart/case.py
+++ b/review/probes/restart/case.py
@@ -65,6 +65,7 @@
     data = b""
     try:
         await loop.sock_connect(client, (node.host, node.port))
+        case.record.write(f"client: {item.name}: sends")
         await loop.sock_sendall(client, request_bytes("latest", f"{item.name}-{body_bytes}", 2500))
         while not item.length or item.received < item.length:
             part = await loop.sock_recv(client, int(READ_BYTES_PER_S * READ_INTERVAL_S))
