--- a/review/1/case.py
+++ b/review/1/case.py
@@ -169,4 +169,4 @@
     return not broken
 
 
-run_case(__file__, play)
+run_case(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -102,4 +102,4 @@
     return not late
 
 
-run_case(__file__, play)
+run_case(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/probes/hang/case.py
+++ b/review/probes/hang/case.py
@@ -148,4 +148,4 @@
     return not lost
 
 
-run_case(__file__, play)
+run_case(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/probes/restart/case.py
+++ b/review/probes/restart/case.py
@@ -136,4 +136,4 @@
     return all(held)
 
 
-run_case(__file__, play)
+run_case(Path(__file__).resolve().with_name("record.txt"), play)
--- a/review/rig.py
+++ b/review/rig.py
@@ -34,7 +34,7 @@
 
 
 class Record:
-    """Writes `record.txt`; times are seconds since the start of the case."""
+    """The record of a case; times are seconds since the start of the case."""
 
     def __init__(self, path: Path) -> None:
         self.file = path.open("w")
@@ -53,10 +53,10 @@
 class Case:
     """What a case needs: the record, a temporary folder, and what has to be ended."""
 
-    def __init__(self, folder: Path, temporary: Path) -> None:
+    def __init__(self, record_file: Path, temporary: Path) -> None:
         while os.dup(0) <= INHERITED_DESCRIPTOR:  # no other file gets that number in a new process
             pass
-        self.record = Record(folder / "record.txt")
+        self.record = Record(record_file)
         self.temporary = temporary
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.endings: list[Callable[[], Awaitable[None]]] = []
@@ -499,12 +499,12 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
 
 
-def run_case(case_file: str, play: Callable[[Case], Coroutine[Any, Any, bool]]) -> None:
-    """Plays a case and exits with its status. `play` returns whether the rule held."""
+def run_case(record_file: Path, play: Callable[[Case], Coroutine[Any, Any, bool]]) -> None:
+    """Plays a case, writes its record and exits with its status. `play` returns whether the rule held."""
 
     async def main() -> int:
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
-            case = Case(Path(case_file).resolve().parent, Path(temporary))
+            case = Case(record_file, Path(temporary))
             try:
                 async with asyncio.timeout(CASE_TIMEOUT_S):
                     held = await play(case)
