Check the memory for bodies before a part is forwarded, not after it

Callers saw 503 for unsafe requests that a server ran, while a second process of the node started under load with large bodies; their retries, which a refusal allows, ran the effect twice.

Cause: RequestReceiver.on_body gave a part of a streamed body to the upload, which writes it to the server at once, and only then compared the buffered bytes of all connections with the limit. If the part was the last one, the server had the whole request when the refusal was sent.

The new test with one connection and a last part of one byte shows the same without load, retry or second process, which excludes the balancer's shedding and full socket buffers.

Change: the check comes first. A refused body has never been forwarded to its last byte, so no server can have begun the request. Bytes of an upload are not counted in advance; the limit can be exceeded by one read.

--- a/harecross/downstream/request_receiver.py
+++ b/harecross/downstream/request_receiver.py
@@ -102,6 +102,7 @@
         if self.body_size > MAX_BODY_BYTES:
             raise BadRequestError(413)
         self.check_body_rate()
+        self.check_body_memory(len(data))
         self.owner.mark_receiving(self)
         if self.incoming_upload is None and len(self.body) + len(data) > MAX_BUFFERED_BODY_BYTES:
             self.start_upload(None)
@@ -114,7 +115,16 @@
         else:
             self.body = self.body + data if self.body else data
             self.buffer_bytes(len(data))
-        if self.owner.buffered_body_bytes > self.owner.max_buffered_body_bytes:
+
+    def check_body_memory(self, size: int) -> None:
+        """Refuses the next `size` bytes of a body if the node buffers too many bytes of bodies.
+
+        This happens before any of them is forwarded: a server runs the request as soon as it has its last byte, and a
+        request that may have run is not refused. Bytes for an upload are not counted in advance, because a server that
+        reads takes them at once.
+        """
+        added = 0 if self.incoming_upload is not None else size
+        if self.owner.buffered_body_bytes + added > self.owner.max_buffered_body_bytes:
             raise BadRequestError(503)
 
     def check_body_rate(self) -> None:
--- a/tests/test_streamed_uploads.py
+++ b/tests/test_streamed_uploads.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from node_support import entry, wait_until
+from node_support import Client, entry, wait_until
 from streaming_support import LARGE_BODY, RESPONSE_FRAMINGS, Peer, chunked, run_with_peers
 from support import balancer, end_attempt, send_request
 
@@ -256,6 +256,43 @@
     run_with_peers(test, server_that_stores([], bodies))
 
 
+async def hold_body_memory(env) -> Client:
+    """Lets the unfinished body of another client exceed the node's memory for bodies; returns that client."""
+    client_connections = env.node.client_connections
+    buffered = client_connections.buffered_body_bytes
+    other = await env.client()
+    other.writer.write(PUT % 99 + b"Content-Length: 2000\r\n\r\n" + bytes(1000))
+    await wait_until(lambda: client_connections.buffered_body_bytes == buffered + 1000)
+    client_connections.max_buffered_body_bytes = 500
+    return other
+
+
+@pytest.mark.parametrize("rest", [1, 30_000, 200_000])
+def test_a_body_refused_for_memory_is_not_run(rest):
+    # Guards against a refusal of a request that a server runs, because the limit was checked after the last part of
+    # its body had been forwarded.
+    bodies: list[bytes] = []
+    heads: list[bytes] = []
+
+    async def test(env) -> None:
+        client = await env.client()
+        client.writer.write(PUT % 1 + b"Content-Length: %d\r\n\r\n" % len(LARGE_BODY) + LARGE_BODY[:-rest])
+        await wait_until(lambda: heads)
+        await wait_until(lambda: env.node.client_connections.buffered_body_bytes == 0)
+        other = await hold_body_memory(env)
+        client.writer.write(LARGE_BODY[-rest:])
+        status, head, _ = await client.answer()
+        assert status == 503
+        assert b"Connection: close" in head
+        await wait_until(lambda: not env.node.pool.open_connections)
+        assert not bodies
+        assert not env.node.dispatcher.requests
+        assert env.node.dispatcher.balancer.controller.in_flight == 0
+        other.writer.close()
+
+    run_with_peers(test, server_that_stores(heads, bodies))
+
+
 def test_a_body_above_the_maximum_gets_413(monkeypatch):
     monkeypatch.setattr(request_receiver, "MAX_BODY_BYTES", 200_000)
     bodies: list[bytes] = []
