Drop a queued request whose body was rejected before it was handled

Callers with a body over 64 kB got no answer at all, or a 200 with a second answer behind it, if the body was rejected in the same read as its head or behind an unanswered request.

Cause: start_upload queues a request before its body is complete, and reject_input ended only the upload of the request that is being handled. The queued one was forwarded afterwards with a body that nothing completes; no timeout covers it.

Change: reject_input takes the request of the rejected body out of the queue.

Measured: all four cases of the new test failed on the code before (two with no answer within 30 s, two with 200 in place of 503) and pass now; tests/test_streamed_uploads.py: 22 passed.

--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -12,6 +12,7 @@
 from harecross.downstream.read_delay import UnreadInterval
 from harecross.downstream.request_receiver import RequestReceiver
 from harecross.downstream.response_sender import ResponseSender
+from harecross.http.body_buffer import Upload
 from harecross.http.request_parser import MAX_HEAD_BYTES, BadRequestError, ParsedRequest
 from harecross.platform.clock import monotonic_us
 from harecross.platform.log import log_exception
@@ -148,8 +149,16 @@
             if self.set_response_paused is not None and self.transport is not None:
                 self.abort(CloseReason.BAD_REQUEST)
                 return
+        elif upload is not None:
+            self.drop_pending_upload(upload)
         self.pending.append(LocalResponse(status))
 
+    def drop_pending_upload(self, upload: Upload) -> None:
+        """Drops the queued request whose body will never be complete: no deadline starts, and no server answers it."""
+        last = self.pending[-1] if self.pending else None
+        if isinstance(last, ParsedRequest) and last.upload is upload:
+            self.pending.pop()
+
     def handle_pending(self) -> None:
         """Handles pending requests in order."""
         while self.pending and not self.busy and not self.write_blocked and self.transport is not None:
--- a/tests/test_streamed_uploads.py
+++ b/tests/test_streamed_uploads.py
@@ -293,6 +293,33 @@
     run_with_peers(test, server_that_stores(heads, bodies))
 
 
+@pytest.mark.parametrize("size", [70_000, 200_000], ids=["in one read", "in several reads"])
+@pytest.mark.parametrize("pipelined", [False, True], ids=["alone", "behind another request"])
+def test_a_large_body_rejected_before_its_request_is_handled_is_dropped(pipelined, size):
+    # Guards against a request that is forwarded after its body was rejected: nothing ever ends it, or its client gets
+    # two answers.
+    heads: list[bytes] = []
+    bodies: list[bytes] = []
+
+    async def test(env) -> None:
+        other = await hold_body_memory(env)
+        client = await env.client()
+        first = PUT % 1 + b"Content-Length: 0\r\n\r\n" if pipelined else b""
+        body = PUT % 2 + b"Content-Length: %d\r\n\r\n" % size + bytes(size)
+        client.writer.write(first + body)
+        if pipelined:
+            assert (await client.answer())[0] == 200
+        status, head, _ = await client.answer()
+        assert status == 503
+        assert b"Connection: close" in head
+        assert await client.reader.read() == b""
+        assert len(heads) == len(bodies) == int(pipelined)
+        assert not env.node.dispatcher.requests
+        other.writer.close()
+
+    run_with_peers(test, server_that_stores(heads, bodies))
+
+
 def test_a_body_above_the_maximum_gets_413(monkeypatch):
     monkeypatch.setattr(request_receiver, "MAX_BODY_BYTES", 200_000)
     bodies: list[bytes] = []
