Do not use a response that may be a second copy of an earlier one

Callers got the response to another client's request if a server sent a response twice, the second time some milliseconds late; the connection then stayed one response behind.

Cause: a response was taken for that of a request by its position on the connection alone. An idle connection was reused after a quarter of its last exchange, 20 ms at most; a copy that passes the next request on the link looks like the response to it. No delay is long enough, and time since the request was written tells nothing: the link's latency is not known here, and the process may be held up before it reads.

Change: a copy equals its original. A response that equals the one before on its connection is not used: the attempt may have run, the connection is closed. Streamed responses are not kept for comparison, so their connections are not reused.

--- a/harecross/dispatch/close_reasons.py
+++ b/harecross/dispatch/close_reasons.py
@@ -24,6 +24,7 @@
         CLIENT_DISCONNECTED: The kernel reports that the client has closed its side.
         ABANDONED: The response from the server is no longer needed.
         MALFORMED_RESPONSE: The server sent a response that cannot be parsed, or bytes that belong to no response.
+        DUPLICATE_RESPONSE: The server's response may be a second copy of an earlier one on the connection.
         STALLED: A streamed body made no progress for too long.
         SERVER_OUT_OF_SERVICE: The server is draining, is gone or was replaced by another process.
         EJECTED: The balancer asked for the idle connections of the server to be closed.
@@ -46,6 +47,7 @@
     # Upstream connections.
     ABANDONED = "given_up"
     MALFORMED_RESPONSE = "spoilt"
+    DUPLICATE_RESPONSE = "second_copy"
     STALLED = "stalled"
     SERVER_OUT_OF_SERVICE = "server_leaves"
     EJECTED = "ejected"
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -12,12 +12,14 @@
 from harecross.http.response_parser import ReadResult, ResponseParser
 from harecross.interface import Outcome
 from harecross.platform.clock import monotonic_us
+from harecross.upstream import duplicate_responses
+from harecross.upstream.duplicate_responses import ConnectionResponses, ResponseVariety, fingerprint
 from harecross.upstream.exchange import Exchange, HealthCheck
 
-# A faulty server may send a second response a few milliseconds after the first, which would be mistaken for the
-# response to the next exchange. An idle connection is therefore not reused for the duration of its last exchange
-# divided by `REUSE_DELAY_DIVISOR`, limited to `MAX_REUSE_DELAY_US`. This costs at most one additional connection for
-# every `REUSE_DELAY_DIVISOR` connections in use.
+# A faulty server may send a second response a few milliseconds after the first. If it arrives while the connection is
+# idle, only the connection is lost, and not an exchange: `duplicate_responses` rejects it then. An idle connection is
+# therefore not reused for the duration of its last exchange divided by `REUSE_DELAY_DIVISOR`, limited to
+# `MAX_REUSE_DELAY_US`. This costs at most one additional connection for every `REUSE_DELAY_DIVISOR` connections in use.
 MAX_REUSE_DELAY_US = 20_000
 REUSE_DELAY_DIVISOR = 4
 
@@ -57,6 +59,7 @@
     stream_buffer_bytes: int
     streaming: set[ServerConnection]
     malformed_responses: int
+    response_variety: ResponseVariety
     on_connection_closed: Callable[[ClosedConnection], None]
 
     def record_load_report(self, text: bytes) -> Sequence[float]:
@@ -87,7 +90,10 @@
         parser: Parser of the response to `exchange`; None while the connection is idle.
         exchange: The exchange in progress; None while the connection is idle.
         idle_since_us: Time since which the connection is idle; 0 if it was never released to the pool.
-        reusable_from_us: Time from which another exchange may use the connection.
+        reusable_from_us: Time from which another exchange may use the connection, see `rested`.
+        responses: The latest responses, of which a second copy may still arrive.
+        written_us: Time at which the first byte of the message of the exchange was written.
+        response_us: Time at which the last response was complete; 0 if there was none.
         sent: Whether the last byte of the message of the exchange has left this process.
         usable: Whether the connection may carry another exchange.
         upload_unfinished: Whether more bytes of the upload remain to be written.
@@ -110,12 +116,15 @@
         "progress_us",
         "read_paused",
         "receive_buffer_bytes",
+        "response_us",
+        "responses",
         "reusable_from_us",
         "sent",
         "transport",
         "upload_unfinished",
         "usable",
         "write_blocked",
+        "written_us",
     )
 
     def __init__(self, pool: ConnectionOwner, process: ServerProcess) -> None:
@@ -134,6 +143,9 @@
         self.receive_buffer_bytes = 0
         self.descriptor = -1
         self.reusable_from_us = 0
+        self.responses = ConnectionResponses()
+        self.written_us = 0
+        self.response_us = 0
         self.closed_record: ClosedConnection | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -193,6 +205,7 @@
         """Writes the message of the exchange; of an upload, the bytes received so far."""
         assert self.transport is not None
         self.exchange = exchange
+        self.written_us = now
         exchange.connection = self
         self.parser = ResponseParser()
         self.set_receive_buffer(self.pool.initial_buffer_bytes)
@@ -300,10 +313,22 @@
         else:
             self.transport.resume_reading()
 
+    def rested(self, now: int) -> bool:
+        """Returns whether the next response on this idle connection cannot be confused with an earlier one.
+
+        Where different requests may get equal responses, this takes until no second copy of the last one can be on its
+        way. Elsewhere a copy is recognized, and the short reuse delay saves most exchanges from one.
+        """
+        if self.pool.response_variety.equal_expected and self.response_us:
+            return now >= self.response_us + duplicate_responses.DUPLICATE_WINDOW_US
+        return now >= self.reusable_from_us
+
     def complete_exchange(self, parser: ResponseParser) -> None:
         """Reports the outcome of a complete response and releases the connection if it can be reused."""
         exchange = self.exchange
         assert exchange is not None
+        if self.rejects_duplicate(exchange, parser):
+            return
         text = parser.load_report
         if not text and isinstance(exchange, HealthCheck):
             text = parser.body  # the body of a /_load response is the load report
@@ -313,15 +338,40 @@
         # If the response arrived before the last byte was sent, the server would read the rest of this request as
         # the start of the next one.
         if parser.reusable and self.sent and self.usable:
-            now = monotonic_us()
-            self.reusable_from_us = now + min(
-                MAX_REUSE_DELAY_US, (now - exchange.started_us) // REUSE_DELAY_DIVISOR
+            duration_us = self.response_us - exchange.started_us
+            self.reusable_from_us = self.response_us + min(
+                MAX_REUSE_DELAY_US, duration_us // REUSE_DELAY_DIVISOR
             )
             self.pool.release(self)
         else:
             self.discard(CloseReason.LAST_RESPONSE, exchange)
         self.pool.finish(exchange, parser.outcome(), parser.body, report)
 
+    def rejects_duplicate(self, exchange: Exchange, parser: ResponseParser) -> bool:
+        """Records the response; fails the exchange and returns True if the response may be a copy of an earlier one.
+
+        A health check does not depend on which of two equal responses it gets, but its connection is not reused.
+        A streamed response was forwarded without being kept, so that a copy of it could not be recognized.
+        """
+        self.response_us = now = monotonic_us()
+        if parser.streaming:
+            self.usable = False
+            return False
+        response = fingerprint(parser.status, parser.body)
+        variety = self.pool.response_variety
+        duplicate = self.responses.may_be_duplicate(
+            response, self.written_us, equal_expected=variety.equal_expected
+        )
+        self.responses.record(response, now)
+        if isinstance(exchange, HealthCheck):
+            self.usable = self.usable and not duplicate
+            return False
+        if duplicate:
+            self.fail_exchange(CloseReason.DUPLICATE_RESPONSE)
+        elif parser.outcome() == Outcome.OK:
+            variety.record(response)
+        return duplicate
+
     def fail_exchange(self, reason: CloseReason) -> None:
         """Closes the connection and ends the exchange as failed.
 
--- a/harecross/upstream/connection_pool.py
+++ b/harecross/upstream/connection_pool.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_right
 from collections.abc import Callable, Sequence
 from typing import cast
 
@@ -18,7 +19,9 @@
 from harecross.platform.descriptor_budget import DescriptorBudget
 from harecross.platform.peer_state import has_no_pending_events
 from harecross.platform.system_errors import is_local_shortage
+from harecross.upstream import duplicate_responses
 from harecross.upstream.connection import ServerConnection, ServerProcess
+from harecross.upstream.duplicate_responses import ResponseVariety
 from harecross.upstream.exchange import NO_DEADLINE_US, Exchange, HealthCheck
 
 IDLE_MARGIN_US = 1_500_000  # an idle connection is closed this long before its server would close it
@@ -38,6 +41,7 @@
         on_descriptor_shortage: Closes a client connection to free a descriptor; returns whether it closed one.
         load_reports: Number of valid load reports received.
         malformed_responses: Number of malformed responses received.
+        response_variety: Whether different requests may get equal responses.
         processes: The current process of each server, by server number.
         streaming: Connections that carry a streamed body.
         streaming_budget_bytes: Memory budget shared by all streamed responses.
@@ -67,6 +71,7 @@
         self.on_descriptor_shortage: Callable[[], bool] = lambda: False
         self.load_reports = 0
         self.malformed_responses = 0
+        self.response_variety = ResponseVariety()
         self.processes: dict[int, ServerProcess] = {}
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.streaming: set[ServerConnection] = set()
@@ -140,7 +145,7 @@
             self.start_deadline_timer(exchange)
         descriptor_available = self.descriptors.upstream_connection_fits()
         connection = self.acquire_idle(process, now)
-        if connection is None and not descriptor_available:
+        if connection is None and not descriptor_available and not self.response_variety.equal_expected:
             # Reusing a connection before its reuse delay is over is better than closing another to make room.
             connection = self.acquire_idle(process, now, honor_reuse_delay=False)
         if connection is not None:
@@ -167,6 +172,9 @@
         """
         idle = process.idle
         position = len(idle) - 1
+        if honor_reuse_delay and self.response_variety.equal_expected:
+            rested_since = now - duplicate_responses.DUPLICATE_WINDOW_US
+            position = bisect_right(idle, rested_since, key=lambda connection: connection.idle_since_us) - 1
         while position >= 0:
             connection = idle[position]
             if now - connection.idle_since_us >= self.idle_time:
@@ -175,7 +183,7 @@
                     expired.discard(CloseReason.IDLE)
                 del idle[: position + 1]
                 return None
-            if connection.reusable_from_us <= now or not honor_reuse_delay:
+            if not honor_reuse_delay or connection.rested(now):
                 del idle[position]
                 if (
                     connection.transport is not None
--- a/tests/test_reasons.py
+++ b/tests/test_reasons.py
@@ -147,6 +147,15 @@
     assert (await client.answer())[0] == 502
 
 
+async def server_repeats_its_response(env: NodeEnvironment) -> None:
+    await serve_one_request(env)
+    env.node.pool.response_variety.different_seen = True
+    client = await env.client()
+    client.send("/pay/1", X_Request_ID="lost")
+    (await env.upstreams[0].received.get()).answer()
+    assert (await client.answer())[0] == 502
+
+
 async def server_does_not_answer(env: NodeEnvironment) -> None:
     client = await env.client()
     client.send("/pay/1", left="100m", X_Request_ID="lost")
@@ -171,6 +180,7 @@
         (server_closes, CloseReason.PEER, "lost"),
         (server_closes_with_its_response, CloseReason.LAST_RESPONSE, "last"),
         (server_sends_noise, CloseReason.MALFORMED_RESPONSE, "lost"),
+        (server_repeats_its_response, CloseReason.DUPLICATE_RESPONSE, "lost"),
         (server_does_not_answer, CloseReason.ABANDONED, "lost"),
         (server_drains, CloseReason.SERVER_OUT_OF_SERVICE, ""),
         (connection_is_idle, CloseReason.IDLE, ""),
