The process table sees that a list on an open watch is full

Callers' requests went to a server that had left, 5 s after SIGHUP and without end.

Cause: the registry asks a list whether it is full; ProcessTable.receive relied on its caller, who says so for the first list of a watch only. The registry took the server out, the table kept "in service" as the current discovery's word and restored it when the quarantine after SIGHUP ended.

The table alone, without sockets or time, shows the same.

Change: ProcessTable.receive asks the list itself.

Open: with 4,000 random examples the property test finds that a server which no list of this process has named is used if a lagging discovery lists it after SIGHUP (docs/incidents).

--- a/harecross/discovery/process_table.py
+++ b/harecross/discovery/process_table.py
@@ -150,11 +150,12 @@
     def receive(self, now: float, source: DiscoverySource, update: Any, *, full: bool) -> TableUpdate:
         """Records a list or change; returns the one to apply in its place. Raises ValueError if it is neither.
 
-        `full`: servers that it does not name are gone.
+        `full`: servers that it does not name are gone, as with a list that says so itself.
         """
         entries = wire_format.entries_of(update)
+        full = full or wire_format.is_reset(update)
         if source.sequence < self.current_source.sequence:
-            return self.receive_from_earlier(now, source, update, full=full or wire_format.is_reset(update))
+            return self.receive_from_earlier(now, source, update, full=full)
         stated = self.statements_of(now, source, update)
         migrates = source.sequence > self.current_source.sequence
         affected = {**self.current_statements, **stated} if full or migrates else stated
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -214,7 +214,8 @@
         return {name for name, (state, _) in self.versions[version].items() if state == "in_service"}
 
 
-# Besides a change of one server's lifecycle, a step is one of these events, each with a number that selects a version:
+# A "change" is a change of one server's lifecycle, and "whole" is one that discovery states by a full list on the open
+# watch. Besides, a step is one of these events, each with a number that selects a version:
 # "replay": an earlier change is received again.
 # "older": the full list of an earlier version is received on the watch.
 # "beside": such a list is received in answer to a poll beside the watch.
@@ -225,7 +226,7 @@
 STEPS = st.lists(
     st.one_of(
         st.tuples(
-            st.just("change"),
+            st.sampled_from(["change", "whole"]),
             st.sampled_from([f"s{i}" for i in range(8)]),
             st.sampled_from(["in_service", "terminating", "terminated"]),
         ),
@@ -292,9 +293,11 @@
 
         receive(fleet.whole(1))
         for step, *more in steps:
-            if step == "change":
+            if step in ("change", "whole"):
                 name, state = more
                 received = fleet.change(name, state, int(name[1:]))
+                if step == "whole":
+                    received = fleet.whole(fleet.version)
                 history.append(received)
                 receive(received)
             elif step == "replay" and history:
--- a/tests/test_process_table.py
+++ b/tests/test_process_table.py
@@ -133,6 +133,7 @@
 
 
 def test_a_server_absent_from_a_full_list_on_an_open_watch_is_gone_and_quarantined_after_a_migration():
+    # Guards against a server that left being used again after SIGHUP: the table did not see that a list was full.
     table = ProcessTable(OLD)
     table.receive(0.0, OLD, list_with("in_service"), full=True)
     table.receive(0.5, OLD, update(2, reset=True), full=False)
@@ -141,6 +142,19 @@
     assert table.state("s") is ProcessState.QUARANTINED
 
 
+def test_a_quarantined_server_that_a_full_list_on_an_open_watch_leaves_out_is_gone_for_good():
+    # Guards against the end of a quarantine restoring an entry that the current discovery has withdrawn.
+    table = ProcessTable(OLD)
+    table.receive(0.0, OLD, list_with("in_service"), full=True)
+    table.receive(0.1, OLD, list_with("terminating"), full=False)
+    table.receive(1.0, NEW, list_with("in_service"), full=True)
+    assert table.state("s") is ProcessState.QUARANTINED
+    table.receive(2.0, NEW, update(3, reset=True), full=False)
+    assert table.state("s") is ProcessState.GONE
+    assert table.heartbeat(1000.0, NEW).update["instances"] == []
+    assert table.state("s") is ProcessState.GONE
+
+
 def test_an_entry_without_a_start_time_is_about_the_known_process():
     table = ProcessTable(OLD)
     table.receive(0.0, OLD, list_with("in_service"), full=True)
