A node that stops waits until its last answers have left the process

Clients that read large answers slowly had them cut off by a planned restart: the node ended by itself 3.2 s after SIGTERM, before SIGKILL may come.

Cause: a request counts as answered once the server's last byte is in the node's own buffer; flush_answers then waited for 0.3 s and the process ended.

Change: it waits until the kernel has accepted the last byte, or clients have read nothing for as long as a running node allows (10 s).

--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -342,6 +342,11 @@
         for connection in list(self.open):
             connection.close(CloseReason.SHUTDOWN)
 
+    def unsent_bytes(self) -> int:
+        """Returns the number of response bytes that the kernel has not accepted yet."""
+        transports = (connection.transport for connection in self.open)
+        return sum(transport.get_write_buffer_size() for transport in transports if transport is not None)
+
     def has_open_requests(self) -> bool:
         """Returns whether a request that was received, or is waiting to be read, has no response yet."""
         return any(c.busy or c.pending or c.has_unread_data() for c in self.open)
--- a/harecross/node/graceful_shutdown.py
+++ b/harecross/node/graceful_shutdown.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from harecross.downstream.connection_manager import SLOW_READER_TIMEOUT_US
 from harecross.node.composition import NodeParts
 from harecross.node.config import Config
 from harecross.node.options import NodeOptions
@@ -15,7 +16,7 @@
 from harecross.platform.clock import monotonic_us
 from harecross.platform.log import log_line
 
-FLUSH_TIMEOUT_S = 0.3  # the longest wait for answers that are still being written
+SLOW_READER_TIMEOUT_S = SLOW_READER_TIMEOUT_US / 1e6
 POLL_INTERVAL_S = 0.01
 
 
@@ -98,7 +99,14 @@
             await self.options.embedded_service.stop()
 
     async def flush_answers(self) -> None:
-        """Waits for at most `FLUSH_TIMEOUT_S` until clients have read their last answers."""
-        end = self.loop.time() + FLUSH_TIMEOUT_S
-        while self.parts.client_connections.open and self.loop.time() < end:
+        """Waits until the last answers have left this process, or their clients have read nothing for too long.
+
+        An answer whose last bytes are in this process when it ends is lost. The kernel delivers what it has.
+        """
+        connections = self.parts.client_connections
+        unsent, progress_at = connections.unsent_bytes(), self.loop.time()
+        while connections.open and self.loop.time() < progress_at + SLOW_READER_TIMEOUT_S:
             await asyncio.sleep(POLL_INTERVAL_S)
+            before, unsent = unsent, connections.unsent_bytes()
+            if unsent != before:
+                progress_at = self.loop.time()
--- a/tests/test_streamed_responses.py
+++ b/tests/test_streamed_responses.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
-from node_support import wait_until
+from node_support import HEAD, SETTINGS, wait_until
 from streaming_support import (
     LARGE_BODY,
     RESPONSE_FRAMINGS,
@@ -19,6 +20,7 @@
     MAX_STREAM_BUFFER_BYTES,
     MIN_STREAM_BUFFER_BYTES,
 )
+from harecross.node import graceful_shutdown
 from harecross.standins.http import read_message
 from harecross.upstream import connection_pool
 
@@ -172,6 +174,50 @@
     run_with_peers(test, sends_large_response)
 
 
+SHORT_DEADLINES = {
+    "classes": [{**each, "hard_limit": 300_000} for each in SETTINGS["classes"]]  # type: ignore[attr-defined]
+}
+
+
+async def wait_until_the_server_is_done(env, sock: socket.socket) -> bytes:
+    """Reads an answer up to the moment at which its last bytes wait in the node; returns what was read."""
+    received = b""
+    while env.node.dispatcher.requests or not received:
+        received += await asyncio.get_running_loop().sock_recv(sock, 8000)
+        await asyncio.sleep(0.001)
+    assert env.node.client_connections.unsent_bytes() > 0
+    return received
+
+
+@pytest.mark.parametrize("reads", [True, False], ids=["is read late", "is not read"])
+def test_a_node_that_stops_ends_only_after_its_last_answers_have_left(reads, monkeypatch):
+    # Guards against a restart that cuts off an answer whose client is still reading.
+    if not reads:
+        monkeypatch.setattr(graceful_shutdown, "SLOW_READER_TIMEOUT_S", 0.2)
+    body = LARGE_BODY * 4
+
+    async def test(env) -> None:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.settimeout(0)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, env.node.address)
+        await loop.sock_sendall(sock, b"GET /read/1" + HEAD + b"\r\n")
+        received = await wait_until_the_server_is_done(env, sock)
+        env.node.stop_requested.set()
+        await wait_until(lambda: all(c.transport.is_closing() for c in env.node.client_connections.open))
+        if reads:
+            await asyncio.sleep(0.5)
+            assert not env.task.done()
+            while part := await loop.sock_recv(sock, 1 << 20):
+                received += part
+            assert received.endswith(body)
+        await env.task
+        sock.close()
+
+    run_with_peers(test, server_that_sends(RESPONSE_FRAMINGS["length"](body)), settings=SHORT_DEADLINES)
+
+
 def test_many_slow_clients_get_small_buffers_and_a_single_one_a_full_buffer():
     async def sends_large_response(reader, writer) -> None:
         try:
