A body that no server takes is timed from the arrival of its last bytes

Cause: the node stops reading while 64 kB wait for the server, and a request's timeout began only when its last byte had been read. The stall timeout of 6 s was all that ended it.

Change: while reading is paused for the server, the timeout runs from when the kernel received the last bytes (from the pause where it does not tell), and is extended if more have come.

--- a/harecross/dispatch/request.py
+++ b/harecross/dispatch/request.py
@@ -126,7 +126,7 @@
         deadline_us: Time by which the request must be answered, in monotonic microseconds.
         attempt_count: Number of attempts started.
         in_flight: Attempts without an outcome.
-        deadline_timer: Timer for `deadline_us`; None while the body is being received and after the final answer.
+        deadline_timer: Timer for `deadline_us`; None while the body is being read and after the final answer.
         first_run_us: Start time of the first attempt to end that a server may have run; None if there is none.
         being_admitted: Whether the request is being admitted, so that its client is known to be connected.
         last_outcome: Outcome of the attempt that ended last, which is the cause of the next attempt.
@@ -158,3 +158,7 @@
         self.first_run_us: int | None = None
         self.being_admitted = True
         self.last_outcome: Outcome | None = None
+
+    def is_streamed(self) -> bool:
+        """Returns whether the response of an attempt is being streamed to the client."""
+        return any(attempt.response_streamed for attempt in self.in_flight)
--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -9,7 +9,7 @@
 
 from harecross.dispatch.close_reasons import ClosedConnection, CloseReason
 from harecross.downstream.connection_state import LocalResponse
-from harecross.downstream.read_delay import UnreadInterval
+from harecross.downstream.read_delay import UNKNOWN_AGE_US, UnreadInterval, last_data_age
 from harecross.downstream.request_receiver import RequestReceiver
 from harecross.downstream.response_sender import ResponseSender
 from harecross.http.body_buffer import Upload
@@ -122,6 +122,25 @@
             return
         self.reading_paused, self.paused_at_us = True, monotonic_us()
         self.transport.pause_reading()
+        self.limit_paused_upload()
+
+    def limit_paused_upload(self) -> None:
+        """Starts the timeout of the current request if its body is not being read."""
+        upload = self.incoming_upload
+        if (
+            self.reading_paused
+            and self.request is not None
+            and upload is not None
+            and upload is self.current_upload
+        ):
+            self.owner.dispatcher.body_paused(self.request, self.last_arrival_us)
+
+    def last_arrival_us(self) -> int:
+        """Returns when the last bytes arrived; when reading was paused if the kernel does not tell."""
+        age_us = last_data_age(self.sock)
+        if age_us == UNKNOWN_AGE_US:
+            return self.paused_at_us
+        return max(self.message_began_us, monotonic_us() - age_us)
 
     def resume_reading(self) -> None:
         """Resumes reading; data that arrived during the pause counts as delayed since the pause began."""
@@ -195,6 +214,7 @@
                 if message.upload.complete:
                     dispatcher.body_received(request, self.last_read_delay_us)
                 self.upload_progressed()
+                self.limit_paused_upload()
 
     def reject_conflict(self) -> None:
         """Rejects a request that has the same id as a request in flight."""
--- a/tests/test_streamed_uploads.py
+++ b/tests/test_streamed_uploads.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 from node_support import Client, entry, wait_until
 from streaming_support import LARGE_BODY, RESPONSE_FRAMINGS, Peer, chunked, run_with_peers
 from support import balancer, end_attempt, send_request
 
-from harecross.downstream import connection_manager, request_receiver
+from harecross.downstream import client_connection, connection_manager, request_receiver
+from harecross.downstream.read_delay import UNKNOWN_AGE_US
 from harecross.interface import Outcome
 from harecross.node.resource_shares import request_body_bytes
 from harecross.standins.http import read_body
@@ -179,6 +181,67 @@
     run_with_peers(test, aborting_server, server_that_stores(heads, bodies))
 
 
+@pytest.mark.parametrize("kernel_tells", [True, False])
+@pytest.mark.parametrize("form", ["length", "chunks"])
+@pytest.mark.parametrize("taken", [1000, 400_000])
+def test_a_body_for_a_server_that_hangs_is_answered_in_its_time(taken, form, kernel_tells, monkeypatch):
+    # Guards against a request whose last byte the node does not read, so that no deadline begins.
+    if not kernel_tells:
+        monkeypatch.setattr(client_connection, "last_data_age", lambda _: UNKNOWN_AGE_US)
+    body = bytes(20_000_000)
+    timeout_s = 0.6
+
+    async def hanging_server(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(taken)
+        writer.transport.pause_reading()
+        await asyncio.sleep(60)
+
+    async def test(env) -> None:
+        client = await env.client()
+        head = PUT.replace(b"20000m", b"%dm" % (timeout_s * 1000)) % 1
+        if form == "length":
+            client.writer.write(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        else:
+            client.writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 50_000))
+        began = time.monotonic()
+        assert (await client.answer())[0] in (502, 503)
+        assert time.monotonic() - began < timeout_s + 0.5
+        client.writer.transport.abort()
+        await wait_until(lambda: not (env.node.dispatcher.requests or env.node.pool.open_connections))
+        assert env.node.dispatcher.balancer.controller.in_flight == 0
+        await wait_until(lambda: not env.node.client_connections.buffered_body_bytes)
+
+    run_with_peers(test, hanging_server)
+
+
+def test_a_body_that_a_server_reads_slowly_has_time_from_its_last_bytes():
+    # Guards against a deadline that runs although the client is still sending.
+    bodies: list[bytes] = []
+
+    async def slow_server(reader, writer) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        body = b""
+        while len(body) < len(LARGE_BODY):
+            body += await reader.read(20_000)
+            await asyncio.sleep(0.02)
+        bodies.append(body)
+        assert head
+        writer.write(RESPONSE_FRAMINGS["length"](b"ok"))
+
+    async def test(env) -> None:
+        client = await env.client()
+        head = PUT.replace(b"20000m", b"400m") % 1
+        client.writer.write(head + b"Content-Length: %d\r\n\r\n" % len(LARGE_BODY))
+        for start in range(0, len(LARGE_BODY), 50_000):
+            client.writer.write(LARGE_BODY[start : start + 50_000])
+            await asyncio.sleep(0.2)
+        assert (await client.answer())[0] == 200
+        assert bodies == [LARGE_BODY]
+
+    run_with_peers(test, slow_server)
+
+
 def test_a_body_that_stalls_gets_408(monkeypatch):
     monkeypatch.setattr(connection_manager, "RECEIVE_TIMEOUT_US", 100_000)
     monkeypatch.setattr(request_receiver, "RECEIVE_TIMEOUT_US", 100_000)
