Do not reuse a connection that has carried a turned-away response

Callers' keyed requests were sent to another group of servers while they ran, and the next request on that connection got their response.

Cause: a second copy of a turned-away response (503 with X-Not-Processed: 1), which comes behind the next request of its connection, says that that one was not processed. A rejection comes soonest, so its connection rested shortest; and rejections are equal, so that comparing responses cannot tell a copy.

Change: the connection is closed after a rejection. Equal errors count as errors and end their connection.

--- a/harecross/dispatch/close_reasons.py
+++ b/harecross/dispatch/close_reasons.py
@@ -13,7 +13,8 @@
 
     Attributes:
         PEER: The peer closed or reset the connection.
-        LAST_RESPONSE: The last response was complete, and either side had asked for the connection to be closed.
+        LAST_RESPONSE: The last response was complete, and either side had asked for the connection to be closed, or it
+            is not used again.
         IDLE: The connection was unused for too long.
         SHUTDOWN: The process is shutting down or is draining its clients.
         DESCRIPTOR_SHORTAGE: The descriptor was needed for another connection.
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -327,7 +327,8 @@
         """Reports the outcome of a complete response and releases the connection if it can be reused."""
         exchange = self.exchange
         assert exchange is not None
-        if self.rejects_duplicate(exchange, parser):
+        outcome = parser.outcome()
+        if self.rejects_duplicate(exchange, parser, outcome):
             return
         text = parser.load_report
         if not text and isinstance(exchange, HealthCheck):
@@ -345,16 +346,17 @@
             self.pool.release(self)
         else:
             self.discard(CloseReason.LAST_RESPONSE, exchange)
-        self.pool.finish(exchange, parser.outcome(), parser.body, report)
+        self.pool.finish(exchange, outcome, parser.body, report)
 
-    def rejects_duplicate(self, exchange: Exchange, parser: ResponseParser) -> bool:
+    def rejects_duplicate(self, exchange: Exchange, parser: ResponseParser, outcome: Outcome) -> bool:
         """Records the response; fails the exchange and returns True if the response may be a copy of an earlier one.
 
-        A health check does not depend on which of two equal responses it gets, but its connection is not reused.
-        A streamed response was forwarded without being kept, so that a copy of it could not be recognized.
+        Otherwise decides whether the connection may be used again. It may not if a copy of this response could not be
+        recognized: streamed responses are not kept, and different requests that are turned away get equal responses.
+        A health check and an error do not depend on which of two equal responses they get.
         """
         self.response_us = now = monotonic_us()
-        if parser.streaming:
+        if parser.streaming or outcome is Outcome.REJECTED:
             self.usable = False
             return False
         response = fingerprint(parser.status, parser.body)
@@ -363,12 +365,12 @@
             response, self.written_us, equal_expected=variety.equal_expected
         )
         self.responses.record(response, now)
-        if isinstance(exchange, HealthCheck):
+        if isinstance(exchange, HealthCheck) or outcome is not Outcome.OK:
             self.usable = self.usable and not duplicate
             return False
         if duplicate:
             self.fail_exchange(CloseReason.DUPLICATE_RESPONSE)
-        elif parser.outcome() == Outcome.OK:
+        else:
             variety.record(response)
         return duplicate
 
--- a/tests/test_duplicate_responses.py
+++ b/tests/test_duplicate_responses.py
@@ -157,6 +157,92 @@
     run_with_peers(test, large_responses)
 
 
+NOT_PROCESSED = answer(503, extra=b"X-Not-Processed: 1\r\n")
+
+
+def server_with_copies_of_rejections(arrivals: list[bytes]) -> Peer:
+    """Returns a server that turns away the first request of each connection and runs the others.
+
+    A second copy of its rejection arrives behind the next request of that connection. `arrivals` are the ids that ran.
+    """
+
+    async def peer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await read_message(reader)
+            writer.write(NOT_PROCESSED)
+            head, _ = await read_message(reader)
+            writer.write(NOT_PROCESSED)
+            while True:
+                request_id = header(head, b"X-Request-ID")
+                arrivals.append(request_id)
+                await asyncio.sleep(0.05)
+                writer.write(answer(200, request_id))
+                head, _ = await read_message(reader)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    return peer
+
+
+@every_request_kind
+def test_a_copy_of_a_rejection_does_not_free_the_next_request(kind):
+    # Guards against a copy of a turned-away answer that is taken for the next request's: that request runs and is sent
+    # to another server all the same, and its connection stays one response behind.
+    arrivals: list[bytes] = []
+
+    async def test(env: NodeEnvironment) -> None:
+        clients = [await env.client() for _ in range(4)]
+        for number in range(10):
+            for i, client in enumerate(clients):
+                client.send(kind[0], key=kind[1] and f"k{number}-{i}", X_Request_ID=f"id{number}-{i}")
+            for i, client in enumerate(clients):
+                status, _, body = await client.answer()
+                assert status != 200 or body == b"id%d-%d" % (number, i)
+            await asyncio.sleep(REUSE_PAUSE_S)
+        assert len(arrivals) == len(set(arrivals))
+
+    run_with_peers(test, *(server_with_copies_of_rejections(arrivals) for _ in range(3)))
+
+
+def test_a_second_rejection_of_a_good_server_is_not_taken_for_a_copy():
+    # Guards against a request that fails although each server has turned it away, so that it cannot have run.
+    async def test(env: NodeEnvironment) -> None:
+        client = await env.client()
+        for number in range(8):
+            client.send("/pay/1")
+            (await env.upstreams[0].received.get()).answer(200, body=b"%d" % number)
+            assert (await client.answer())[0] == 200
+            await asyncio.sleep(REUSE_PAUSE_S)
+            client.send("/pay/1")
+            for _ in range(2):
+                received = await env.upstreams[0].received.get()
+                received.writer.write(NOT_PROCESSED)
+            received = await env.upstreams[0].received.get()
+            received.answer(200, body=b"%d again" % number)
+            assert (await client.answer())[::2] == (200, b"%d again" % number)
+        assert env.node.dispatcher.statistics.outcomes[Outcome.REJECTED] == 16
+
+    run_with_node(test)
+
+
+def test_equal_errors_of_a_server_are_errors():
+    async def test(env: NodeEnvironment) -> None:
+        client = await env.client()
+        env.node.pool.response_variety.different_seen = True
+        connections = []
+        for _ in range(4):
+            client.send("/pay/1")
+            received = await env.upstreams[0].received.get()
+            connections.append(received.connection_number)
+            received.answer(500)
+            assert (await client.answer())[0] == 502
+            await asyncio.sleep(REUSE_PAUSE_S)
+        assert env.node.dispatcher.statistics.outcomes[Outcome.ERROR] == 4
+        assert connections == [0, 0, 1, 1]
+
+    run_with_node(test)
+
+
 def test_equal_responses_of_a_good_server_are_all_served_and_their_connections_rest():
     # Guards against a service whose responses are equal being taken for a faulty one.
     async def test(env: NodeEnvironment) -> None:
