Known red: a server that left before the first list is used after a migration

Cause: the process table has no statement about a server that no list of this process has named; after SIGHUP a discovery that lags lists it, and it is used. Not mended here: holding each server that the list before lacked would hold all new servers for up to 7 s after each SIGHUP, while old ones leave.

--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -239,9 +239,9 @@
 )
 
 
-@settings(max_examples=200, deadline=None, derandomize=True)
-@given(STEPS)
-def test_no_server_is_used_after_its_drain_and_all_listed_servers_are_used_in_any_order_of_updates(steps):
+def apply_steps(steps: list[tuple]) -> None:
+    """Applies updates to a discovery client, and checks after each which servers it uses."""
+
     async def body() -> None:
         fleet = Fleet()
         host = SimpleNamespace(endpoint_update=lambda kind, entries: None, tracer=None)
@@ -333,6 +333,17 @@
     run(body())
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(STEPS)
+def test_no_server_is_used_after_its_drain_and_all_listed_servers_are_used_in_any_order_of_updates(steps):
+    apply_steps(steps)
+
+
+def test_a_server_that_left_before_a_nodes_first_list_is_not_used_after_a_migration():
+    # Guards against the word of a lagging discovery about a server that no list of this process has named.
+    apply_steps([("change", "s6", "in_service"), ("change", "s6", "terminated"), ("restart", 0), ("move", 2)])
+
+
 def function_calls(action) -> int:
     """Counts the function calls that `action` makes, which do not depend on the machine's speed."""
     calls = 0
