The timeout of a whole body is not stopped when reading goes on

Change: it is stopped only while the body is incomplete.

Measured: the new test failed before (no timer while the server hangs) and passes; tests/test_streamed_uploads.py: 32 passed.

--- a/harecross/downstream/request_receiver.py
+++ b/harecross/downstream/request_receiver.py
@@ -86,7 +86,7 @@
         if self.request is not None:
             self.owner.dispatcher.body_consumed(self.request)
         if self.reading_paused and not upload.full and not self.input_closed and not self.pending:
-            if self.request is not None:
+            if self.request is not None and not upload.complete:
                 self.owner.dispatcher.body_resumed(self.request)
             if self.receiving:
                 self.owner.mark_receiving(self)
--- a/tests/test_streamed_uploads.py
+++ b/tests/test_streamed_uploads.py
@@ -215,6 +215,34 @@
     run_with_peers(test, hanging_server)
 
 
+def test_a_whole_body_behind_another_request_keeps_its_deadline():
+    # Guards against a deadline that ends when reading goes on, although it belongs to a body that is whole.
+    bodies: list[bytes] = []
+
+    async def hanging_server(reader, writer) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"X-Request-ID: r1\r\n" in head:
+            await asyncio.sleep(0.1)
+            writer.write(RESPONSE_FRAMINGS["length"](b"ok"))
+        else:
+            bodies.append(await read_body(reader, head))
+        await asyncio.sleep(60)
+
+    async def test(env) -> None:
+        client = await env.client()
+        body = bytes(70_000)
+        second = PUT.replace(b"20000m", b"600m") % 2 + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        client.writer.write(PUT % 1 + b"Content-Length: 0\r\n\r\n" + second)
+        assert (await client.answer())[0] == 200
+        await wait_until(lambda: bodies)
+        (request,) = env.node.dispatcher.requests.values()
+        assert request.deadline_timer is not None
+        async with asyncio.timeout(1.1):
+            assert (await client.answer())[0] == 502
+
+    run_with_peers(test, hanging_server)
+
+
 def test_a_body_that_a_server_reads_slowly_has_time_from_its_last_bytes():
     # Guards against a deadline that runs although the client is still sending.
     bodies: list[bytes] = []
