--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,6 +9,7 @@
 DOWN_S = 8.0  # FLEET and STANDING, `herd+mass`: discovery is down for 8 s
 GRACE_S = 0.25 + SOCKET_SLACK_S
 BINDING_S = 2.0  # DAYS: what discovery tells becomes binding 2 s after the yes
+YES_WITHIN_S = 6.0  # DAYS: SIGTERM reaches the old process when the new one says yes, within 6 s
 KILL_S = 3.0 + 0.7
 
 
@@ -31,18 +32,16 @@
     stage.record.note(f"requests to {leaving.name} since {GRACE_S} s after the drain: {late(leaving, told)}")
     if TROUBLE:
         discovery.go_down()
-    down = time.monotonic()
+        asyncio.get_running_loop().call_later(DOWN_S, discovery.come_back)
 
     new = stage.node(discovery, listen=address, listener=listener, shared_folder=shared)
     new.known = known  # the list as the node had it when it was last started; "it may be old"
-    await new.start()
-    yes = time.monotonic()
+    starting = asyncio.create_task(new.start())
+    await asyncio.wait([starting], timeout=YES_WITHIN_S)
     old.signal(signal.SIGTERM)
-    await asyncio.sleep(KILL_S)
-    old.signal(signal.SIGKILL)
-    await asyncio.sleep(max(0.0, down + DOWN_S - time.monotonic()))
-    if TROUBLE:
-        discovery.come_back()
+    asyncio.get_running_loop().call_later(KILL_S, old.signal, signal.SIGKILL)
+    await starting
+    yes = time.monotonic()
     await clients
     judged = late(leaving, max(told, yes + BINDING_S))
     stage.record.note(f"new process: yes {yes - told:.2f} s after the drain")
