Review cases 6 to 10: each script names the record.txt that it writes

Change: each case and probe passes the path of its record.txt; it is written also if stopping a part fails.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from pathlib import Path
 
 from stage import LATEST, TROUBLE, Answer, Arrival, Client, Stage, main, serve_after, warm_up
 
@@ -61,4 +62,4 @@
     return bool(lost)
 
 
-main(case, __file__)
+main(case, Path(__file__).resolve().with_name("record.txt"))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections import Counter
+from pathlib import Path
 
 from stage import LOG_READING, TROUBLE, Answer, Arrival, Node, Server, Stage, main, serve_after, warm_up
 
@@ -135,4 +136,4 @@
     return broken
 
 
-main(case, __file__, limit_s=115.0)
+main(case, Path(__file__).resolve().with_name("record.txt"), limit_s=115.0)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from pathlib import Path
 
 from stage import SOCKET_SLACK_S, TROUBLE, Stage, keep_asking, listening_socket, main, warm_up
 
@@ -57,4 +58,4 @@
     return [round(each.began - since, 2) for each in server.arrivals if each.began > since + GRACE_S]
 
 
-main(case, __file__)
+main(case, Path(__file__).resolve().with_name("record.txt"))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from pathlib import Path
 
 from stage import SOCKET_SLACK_S, TROUBLE, Stage, keep_asking, main, warm_up
 
@@ -55,4 +56,4 @@
     return bool(judged)
 
 
-main(case, __file__)
+main(case, Path(__file__).resolve().with_name("record.txt"))
--- a/review/probes-2/length/case.py
+++ b/review/probes-2/length/case.py
@@ -1,6 +1,7 @@
 """Servers say too small a length for an answer over 64 KiB: does a client get the cut answer as a whole one?"""
 
 import asyncio
+from pathlib import Path
 
 from stage import LATEST, TROUBLE, Arrival, Stage, main, serve_after, warm_up
 
@@ -38,4 +39,4 @@
     return cut > 0
 
 
-main(case, __file__)
+main(case, Path(__file__).resolve().with_name("record.txt"))
--- a/review/probes-2/refuses/case.py
+++ b/review/probes-2/refuses/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 
 from stage import LATEST, LOG_READING, TROUBLE, Answer, Server, Stage, main, warm_up
 
@@ -62,4 +63,4 @@
     return len(last) >= REJECTED_LEAST and all(a.status in (429, 503) for a in last)
 
 
-main(case, __file__)
+main(case, Path(__file__).resolve().with_name("record.txt"))
--- a/review/probes-2/standby/case.py
+++ b/review/probes-2/standby/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from pathlib import Path
 
 from stage import LATEST, TROUBLE, Answer, Arrival, Stage, main, serve_after, warm_up
 
@@ -63,4 +64,4 @@
     return broken
 
 
-main(case, __file__)
+main(case, Path(__file__).resolve().with_name("record.txt"))
--- a/review/stage.py
+++ b/review/stage.py
@@ -798,9 +798,20 @@
     await asyncio.gather(*(ask(number) for number in range(clients)))
 
 
-def main(case: Callable[[Stage], Awaitable[bool]], case_file: str, limit_s: float = 110.0) -> None:
-    """Runs a case and exits: 1 if the rule was broken (`case` returned True), 0 if it held, 2 if it couldn't run."""
-    folder = Path(case_file).resolve().parent
+def write_record(stage: Stage, path: Path) -> None:
+    """Writes the record, with the last lines of each node's log."""
+    for node in stage.nodes:
+        if node.log.is_file():
+            text = node.log.read_text(errors="replace").replace(str(stage.folder), "TMP")
+            stage.record.lines += [f"log of {node.name}: {line}" for line in text.splitlines()[-60:]]
+    stage.record.write(path)
+
+
+def main(case: Callable[[Stage], Awaitable[bool]], record_path: Path, limit_s: float = 110.0) -> None:
+    """Runs a case, writes its record to `record_path` and exits.
+
+    The status is 1 if the rule was broken (`case` returned True), 0 if it held, and 2 if the case couldn't run.
+    """
 
     async def run(temporary: Path) -> int:
         # The tasks of the stand-ins that are cancelled at the end report nothing.
@@ -818,12 +829,10 @@
         finally:
             if sys.exc_info()[0] is not None:
                 stage.record.note(f"the case could not run: {traceback.format_exc()}")
-            await stage.stop()
-            for node in stage.nodes:
-                if node.log.is_file():
-                    text = node.log.read_text(errors="replace").replace(str(temporary), "TMP")
-                    stage.record.lines += [f"log of {node.name}: {line}" for line in text.splitlines()[-60:]]
-            stage.record.write(folder / "record.txt")
+            try:
+                await stage.stop()
+            finally:
+                write_record(stage, record_path)
 
     status = NOT_RUN
     try:
