Answers begun late in a shutdown or in standby are passed on only when whole

Cause: response_started cancels the deadline timer of a request whose answer is streamed, so nothing bounds the answer.

Change: ResponseDeadlines.needs_whole_response names the requests whose answers may not be streamed: received from 0.6 s after SIGTERM, or from 1.8 s after /standby. Their answers are held in the response parser up to 256 kB (within the memory of streamed answers), within the deadline that the request has, and written into a send buffer that takes them whole. Larger ones are failed with 502 at once, and the connection is closed so that the client goes elsewhere. The schedule of the drain is unchanged: draining at once would cost service.

Why it works: no such answer depends any more on the pace of its server or client between its first byte and SIGKILL.

Tried and dropped: closing the connection at the end of a streamed answer.

--- a/harecross/dispatch/dispatcher.py
+++ b/harecross/dispatch/dispatcher.py
@@ -148,7 +148,7 @@
         """Starts the request's timeout, because the last byte of its streamed body was received."""
         if request.response_writer is None or request.deadline_timer is not None or request.is_streamed():
             return
-        now = monotonic_us()
+        request.received_us = now = monotonic_us()
         request.deadline_us = self.deadlines.response_deadline_us(request.parsed, now, read_delay_us)
         delay_us = max(0, request.deadline_us - now)
         request.deadline_timer = self.loop.call_later(delay_us / 1e6, self.deadline_passed, request)
@@ -290,6 +290,9 @@
         request, connection = attempt.request, attempt.connection
         if request.response_writer is None:
             return False
+        if self.needs_whole_response(request):
+            self.fail_large_response(request, request.response_writer)
+            return False
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         set_paused: Callable[[bool], None] = (
@@ -299,6 +302,20 @@
         self.notify_outcome(attempt, Outcome.OK, report, final=True)
         return True
 
+    def needs_whole_response(self, request: DispatchedRequest) -> bool:
+        """Returns whether the response must be complete before it is sent to the client."""
+        received_us = monotonic_us() if request.received_us is None else request.received_us
+        return self.deadlines.needs_whole_response(received_us)
+
+    def fail_large_response(self, request: DispatchedRequest, response_writer: ResponseWriter) -> None:
+        """Fails a request whose response is too large to be held until it is complete.
+
+        The connection is closed, so that the client sends its next request to another node.
+        """
+        response_writer.drain()
+        self.fail_request(request, FinalReason.DEADLINE)
+        self.notify_client_disconnected(request)
+
     def attempt_ended(
         self, exchange: Exchange, outcome: Outcome, body: bytes, report: Sequence[float]
     ) -> None:
--- a/harecross/dispatch/request.py
+++ b/harecross/dispatch/request.py
@@ -48,6 +48,9 @@
     def send_part(self, data: bytes) -> None:
         """Writes the next part of a streamed response."""
 
+    def drain(self) -> None:
+        """Closes the connection after the response to the current request and to those that are queued behind it."""
+
     def finish_response(self, body: bytes) -> None:
         """Writes a complete response with `body`, or ends a streamed response."""
 
@@ -65,6 +68,9 @@
     def pool(self) -> ConnectionPool:
         """The pool of connections to servers."""
 
+    def needs_whole_response(self, request: DispatchedRequest) -> bool:
+        """Returns whether the response must be complete before it is sent to the client."""
+
     def response_started(self, attempt: UpstreamAttempt, length: int | None, report: Sequence[float]) -> bool:
         """Called when a streamed response starts; returns whether the client still waits for it."""
 
@@ -90,6 +96,10 @@
     number: int
     dispatcher: AttemptListener
 
+    def needs_whole_response(self) -> bool:
+        """See `Exchange`."""
+        return self.dispatcher.needs_whole_response(self.request)
+
     def response_started(self, length: int | None, report: Sequence[float]) -> bool:
         """See `Exchange`."""
         return self.dispatcher.response_started(self, length, report)
@@ -123,6 +133,7 @@
         id: Number of the request, by which the balancer refers to it.
         response_writer: The client connection; None after the final answer.
         parsed: The request as parsed.
+        received_us: Time at which the last byte of the request was read; None while its body is being read.
         deadline_us: Time by which the request must be answered, in monotonic microseconds.
         attempt_count: Number of attempts started.
         in_flight: Attempts without an outcome.
@@ -142,6 +153,7 @@
         "in_flight",
         "last_outcome",
         "parsed",
+        "received_us",
         "response_writer",
     )
 
@@ -151,6 +163,8 @@
         self.id = number
         self.response_writer: ResponseWriter | None = response_writer
         self.parsed = parsed
+        whole = parsed.upload is None or parsed.upload.complete
+        self.received_us: int | None = parsed.received_us if whole else None
         self.deadline_us = deadline_us
         self.attempt_count = 0
         self.in_flight: list[UpstreamAttempt] = []
--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -24,6 +24,9 @@
 LINGER_TIMEOUT_US = 1_000_000
 # The time after which a node in standby closes idle connections. No connection may be open after 4 s.
 STANDBY_DRAIN_US = 1_200_000
+# The time after which requests received in standby need whole responses. No connection may carry a request received
+# later than 2 s when 4 s are over.
+STANDBY_STREAMING_US = 1_800_000
 # The minimum time for which a connection is silent or lingers before it may be evicted.
 EVICTION_GRACE_US = 200_000
 # The time without new bytes of a head after which a connection may be evicted. Slow clients send some every 0.8 s.
@@ -218,7 +221,8 @@
     def set_standby(self, *, standby: bool) -> None:
         """Sets every attribute that standby affects."""
         self.in_standby = self.health_check_failing = self.draining = standby
-        self.standby_since = monotonic_us()
+        self.standby_since = now = monotonic_us()
+        self.dispatcher.deadlines.standby_applies_from_us = now + STANDBY_STREAMING_US if standby else None
 
     def evict_one(self) -> bool:
         """Closes a connection without an open request to free a descriptor; returns whether there was one.
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -95,7 +95,8 @@
         incoming_upload: The large body that is being received.
         current_upload: The large body of the request that is being handled.
         set_response_paused: Pauses or resumes the server's side of a streamed response; None without one.
-        response_closes: The connection is closed after the current response.
+        response_closes: The connection is closed after the current response, whose head says so.
+        draining: The connection is closed once the requests that were received on it are answered.
     """
 
     __slots__ = (
@@ -117,6 +118,7 @@
         "buffered_bytes",
         "discarded_bytes",
         "close_reason",
+        "draining",
         # State of the request that is being received:
         "receiving",
         "url",
@@ -159,6 +161,7 @@
         self.buffered_bytes = 0
         self.discarded_bytes = 0
         self.close_reason: CloseReason | None = None
+        self.draining = False
         self.incoming_upload: Upload | None = None
         self.current_upload: Upload | None = None
         self.set_response_paused: Callable[[bool], None] | None = None
--- a/harecross/downstream/response_sender.py
+++ b/harecross/downstream/response_sender.py
@@ -5,9 +5,11 @@
 import socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 
 from harecross.dispatch.close_reasons import CloseReason
 from harecross.downstream.connection_state import ConnectionState
+from harecross.http.body_buffer import MAX_BUFFERED_BODY_BYTES, MAX_HELD_RESPONSE_BYTES
 
 # The size of the kernel's send buffer for a streamed response. The kernel doubles the value.
 LARGE_RESPONSE_BUFFER_BYTES = 1 << 16
@@ -35,6 +37,8 @@
     def finish_response(self, body: bytes) -> None:
         """Sends a whole response, or the end of a streamed one."""
         if self.set_response_paused is None:
+            if len(body) > MAX_BUFFERED_BODY_BYTES:
+                self.set_send_buffer(MAX_HELD_RESPONSE_BYTES)
             self.send_response(200, body)
             return
         self.set_response_paused = None
@@ -75,11 +79,17 @@
             framing = b"Content-Length: %d\r\n" % length
         # Data that a slow client does not read must stay at the server and be buffered neither here nor in the kernel.
         self.transport.set_write_buffer_limits(high=0)
-        sock = self.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LARGE_RESPONSE_BUFFER_BYTES)
+        self.set_send_buffer(LARGE_RESPONSE_BUFFER_BYTES)
         connection = b"Connection: close\r\n" if self.response_closes else b""
         self.transport.write(b"HTTP/1.1 200 OK\r\n%s%s\r\n" % (framing, connection))
 
+    def set_send_buffer(self, size: int) -> None:
+        """Sets the size of the kernel's send buffer (SO_SNDBUF)."""
+        if self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            with suppress(OSError):  # the kernel's default size is acceptable
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
     def send_part(self, data: bytes) -> None:
         """Sends a part of the body of a streamed response."""
         if self.transport is not None:
@@ -90,7 +100,12 @@
 
         A draining node answers pending requests first.
         """
-        return not self.keep_alive or (not self.pending and self.owner.draining)
+        draining = self.draining or self.owner.draining
+        return not self.keep_alive or (draining and not self.pending)
+
+    def drain(self) -> None:
+        """See `dispatch.request.ResponseWriter`."""
+        self.draining = True
 
     def send_response(self, status: int, body: bytes, retry_after_us: int = 0) -> None:
         """Sends a whole response, and closes the connection if it cannot be kept."""
--- a/harecross/http/body_buffer.py
+++ b/harecross/http/body_buffer.py
@@ -7,6 +7,9 @@
 # A body up to this size is buffered completely before it is forwarded; a larger body is streamed.
 MAX_BUFFERED_BODY_BYTES = 1 << 16
 MAX_BODY_BYTES = 1 << 25
+# A response that may not be streamed is held up to this size until it is complete. The kernel's send buffer for the
+# client takes it at once.
+MAX_HELD_RESPONSE_BYTES = 1 << 18
 # A body may have `MAX_CHUNKS` chunks plus one for each `MIN_CHUNK_BYTES` bytes of its size.
 MAX_CHUNKS = 1 << 12
 MIN_CHUNK_BYTES = 16
@@ -24,6 +27,14 @@
     return max(MIN_STREAM_BUFFER_BYTES, min(MAX_STREAM_BUFFER_BYTES, budget_bytes // (2 * max(1, streams))))
 
 
+def held_response_bytes(budget_bytes: int, connections: int) -> int:
+    """Returns up to which size each of `connections` connections may hold a response that may not be streamed.
+
+    A response that is small enough to be buffered in any case is held whatever the budget is.
+    """
+    return max(MAX_BUFFERED_BODY_BYTES, min(MAX_HELD_RESPONSE_BYTES, budget_bytes // max(1, connections)))
+
+
 def has_too_many_chunks(chunks: int, size: int) -> bool:
     """Returns whether `chunks` is too many for a body of `size` bytes: parsing tiny chunks wastes CPU time."""
     return chunks > MAX_CHUNKS + size // MIN_CHUNK_BYTES
--- a/harecross/http/response_parser.py
+++ b/harecross/http/response_parser.py
@@ -190,6 +190,10 @@
         self.close()
         return ReadResult.COMPLETE
 
+    def expected_body_bytes(self) -> int:
+        """Returns the size of the body, or without a Content-Length the number of body bytes received so far."""
+        return self.body_size if self.length is None else self.length
+
     def read_body(self) -> bytes:
         """Returns the body bytes received since the previous call."""
         body, self.body = self.body, b""
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -68,6 +68,9 @@
     def resize_stream_buffers(self) -> None:
         """Adapts the kernel's receive buffers to the number of streamed bodies."""
 
+    def held_response_bytes(self) -> int:
+        """Returns up to which size a response is held until it is complete, if it may not be streamed."""
+
     def start_deadline_timer(self, exchange: Exchange) -> None:
         """Schedules the abandonment of the exchange at its deadline."""
 
@@ -273,8 +276,12 @@
         exchange = self.exchange
         assert exchange is not None
         self.progress_us = monotonic_us()
-        if not exchange.response_streamed and not self.begin_streaming(exchange, parser):
-            return False
+        if not exchange.response_streamed:
+            fits = parser.expected_body_bytes() <= self.pool.held_response_bytes()
+            if fits and exchange.needs_whole_response():
+                return True  # the body stays in the parser until the response is complete
+            if not self.begin_streaming(exchange, parser):
+                return False
         part = parser.read_body()
         if part:
             exchange.response_part(part)
--- a/harecross/upstream/connection_pool.py
+++ b/harecross/upstream/connection_pool.py
@@ -11,7 +11,7 @@
 from typing import cast
 
 from harecross.dispatch.close_reasons import ClosedConnection, CloseReason
-from harecross.http.body_buffer import MAX_STREAM_BUFFER_BYTES, stream_buffer_bytes
+from harecross.http.body_buffer import MAX_STREAM_BUFFER_BYTES, held_response_bytes, stream_buffer_bytes
 from harecross.http.request_parser import UPSTREAM_HOST
 from harecross.http.response_parser import parse_load_report, report_positions
 from harecross.interface import Outcome
@@ -347,6 +347,13 @@
         for connection in self.streaming:
             connection.set_receive_buffer(buffer_bytes)
 
+    def held_response_bytes(self) -> int:
+        """Returns up to which size a response is held until it is complete, if it may not be streamed.
+
+        All open connections together stay within the memory budget of streamed responses.
+        """
+        return held_response_bytes(self.streaming_budget_bytes, self.open_connections)
+
     def sweep(self) -> None:
         """Closes connections that were idle for too long, and those whose streamed body stalled at the server.
 
--- a/harecross/upstream/exchange.py
+++ b/harecross/upstream/exchange.py
@@ -99,6 +99,10 @@
         self.response_streamed = False
         self.start_by_us = NO_DEADLINE_US
 
+    def needs_whole_response(self) -> bool:
+        """Returns whether the response must be complete before any of it is passed on."""
+        return False
+
     def response_started(self, length: int | None, report: Sequence[float]) -> bool:
         """Called when a streamed response of `length` bytes starts; None means an unknown length.
 
