Each attempt owns its server's record, load and unit of the limit until its outcome

Cause: Server.in_flight was a server's load, a unit of the limit and the life of its record at once. An upload is no load while its body is forwarded, so the record was deleted under it; the server returned with a new record, from which the end of the upload was subtracted, so that this one was deleted under small requests. Their outcome found no record, which was noted as "no server has run it".

Server.open_attempts keeps the record; in_flight is load and limit alone. Request.possibly_processed is the attempt that may have run. On related paths: the outcome of an upload whose client has left is counted once; a keyed request stays in the cell in which it was sent although a list moves its server; a server that returns with a new record is no other server.

--- a/harecross/policy/balancer.py
+++ b/harecross/policy/balancer.py
@@ -20,12 +20,13 @@
     Settings,
 )
 from harecross.policy import balancer_stats
+from harecross.policy.attempts import AttemptTable
 from harecross.policy.controller import MAX_LATE_FRACTION, OBJECTIVE_FRACTION, WINDOW_US, GradientController
 from harecross.policy.endpoint_picker import EndpointPicker
 from harecross.policy.fleet_limits import MIN_CONCURRENCY
 from harecross.policy.outcome_recorder import OutcomeRecorder
 from harecross.policy.outlier_detection import UNRESPONSIVE_RTTS, OutlierDetector
-from harecross.policy.records import Request, Server
+from harecross.policy.records import Attempt, Request
 from harecross.policy.slow_start import SlowStart
 from harecross.policy.subset import Subset
 from harecross.policy.tenant_quotas import TenantQuotas
@@ -64,6 +65,7 @@
         self.picker = EndpointPicker(settings, rng, subset, traffic, outliers, self.slow_start)
         self.tenant_quotas = TenantQuotas([t.quota / settings.instance_count for t in settings.tenants])
         self.requests: dict[int, Request] = {}
+        self.attempts = AttemptTable(controller, traffic)
         self.queue: deque[Request] = deque()
         self.retry_tokens = float(MIN_CONCURRENCY)
         self.lower_tier_deviations = DEVIATIONS_PER_TIER * (settings.tiers - 1 - settings.tier)
@@ -182,26 +184,32 @@
         report: Sequence[float],
     ) -> None:
         """Records the outcome and retries or finishes the request."""
-        server = self.subset.servers.get(server_id)
-        request = self.requests.get(request_id)
-        if request is not None and request.timed_out and outcome == Outcome.CANCELLED:
-            outcome = Outcome.TIMEOUT
-        if server is not None and server.in_flight > 0:
+        ended = self.attempts.end(now, request_id, attempt)
+        if ended is not None:
+            request = self.requests.get(request_id)
+            if request is not None and request.timed_out and outcome == Outcome.CANCELLED:
+                outcome = Outcome.TIMEOUT
             if report and self.traffic.report_columns:
-                self.traffic.record_load_report(server, report)
-            self.recorder.record(now, server, request, outcome, latency)
-        if request is not None and request.server is not None and attempt == request.attempts - 1:
-            request.server = None
-            if final or outcome == Outcome.OK:
-                del self.requests[request_id]
-            elif request.response_started:
-                not_processed = outcome in NOT_PROCESSED and request.possibly_processed_by is None
-                self._finish(request, FinalReason.RESPONSE_BROKEN, shed=not_processed)
-            else:
-                self._retry_or_finish(now, request, server, outcome)
+                self.traffic.record_load_report(ended.server, report)
+            self.recorder.record(now, ended.server, request, outcome, latency)
+            if request is not None:
+                self._attempt_ended(now, request, ended, outcome, final=final)
         if self.queue:
             self._serve_queue(now)
 
+    def _attempt_ended(
+        self, now: int, request: Request, attempt: Attempt, outcome: Outcome, *, final: bool
+    ) -> None:
+        """Ends an open request or retries it; `final` tells that the host has given the final answer."""
+        request.attempt = None
+        if final or outcome == Outcome.OK:
+            del self.requests[request.id]
+        elif request.response_started:
+            not_processed = outcome in NOT_PROCESSED and request.possibly_processed is None
+            self._finish(request, FinalReason.RESPONSE_BROKEN, shed=not_processed)
+        else:
+            self._retry_or_finish(now, request, attempt, outcome)
+
     def response_started(self, now: int, request_id: int, attempt: int, server_id: int, latency: int) -> None:
         """Notes that the request cannot be retried any more."""
         request = self.requests.get(request_id)
@@ -213,17 +221,14 @@
 
         Its round-trip and its deadline count from the last byte of the body.
         """
-        request = self.requests.get(request_id)
-        if request is None or request.server is None or request.uploading == on:
+        attempt = self.attempts.by_request.get(request_id)
+        if attempt is None or not self.attempts.set_uploading(now, attempt, on=on) or on:
             return
-        change, request.uploading = -1 if on else 1, on
-        request.server.in_flight += change
-        if not request.server.excluded_from_limit:
-            limit, mean_rtt = self.controller.current_limit(), self.traffic.mean_rtt[request.request_class]
-            self.controller.change_in_flight(now, change, limit, mean_rtt)
-        if not on:
+        attempt.server.last_progress_at = now
+        request = self.requests.get(request_id)
+        if request is not None:
             request.deadline += now - request.sent_at
-            request.sent_at = request.server.last_progress_at = now
+            request.sent_at = now
 
     def client_disconnected(self, now: int, request_id: int) -> None:
         """Removes the request and cancels its attempt."""
@@ -286,7 +291,7 @@
         """Picks a server and sends the request to it, or finishes the request if there is no server."""
         server = self.picker.pick(now, request)
         if server is None:
-            return self._finish(request, FinalReason.NO_SERVER, shed=request.possibly_processed_by is None)
+            return self._finish(request, FinalReason.NO_SERVER, shed=request.possibly_processed is None)
         mean = self.traffic.mean_rtt[request.request_class]
         repeatable = request.idempotency != Idempotency.NON_IDEMPOTENT
         timeout = request.deadline - now
@@ -295,17 +300,13 @@
             timeout = min(timeout, max(self.settings.tick, int(UNRESPONSIVE_RTTS * mean)))
         if server.in_flight == 0:
             server.last_progress_at = now
-        server.in_flight += 1
-        if not server.excluded_from_limit:
-            self.controller.change_in_flight(now, 1, self.controller.current_limit(), mean)
+        self.attempts.start(now, request, server)
         zone = self.subset.zones[server.zone]
         if zone.sends == 0:
             zone.first_send_at = now
         zone.sends += 1
         if server.slow_start_until <= now:
             self.slow_start.warm_sends += 1
-        request.server, request.sent_at = server, now
-        request.attempts += 1
         self.actions.send(request.id, server.id, timeout)
         if repeatable:
             deviation = self.traffic.deviation[request.request_class]
@@ -345,18 +346,18 @@
         elif now + deviation + mean < request.deadline:
             self._start_attempt_timer(request, max(deviation, settings.tick))
 
-    def _retry_or_finish(self, now: int, request: Request, server: Server | None, outcome: Outcome) -> None:
+    def _retry_or_finish(self, now: int, request: Request, ended: Attempt, outcome: Outcome) -> None:
         """Sends a further attempt if one is allowed, and gives the final answer otherwise."""
-        if outcome not in NOT_PROCESSED and request.possibly_processed_by is None:
-            request.possibly_processed_by = server
+        if outcome not in NOT_PROCESSED and request.possibly_processed is None:
+            request.possibly_processed = ended
             request.possibly_processed_at = request.sent_at
-        request.previous = server
+        request.previous = ended.server
         # The per-try timeout has already taken a retry token; a retry of an unprocessed attempt needs none.
         tokens = int(outcome not in NOT_PROCESSED and not request.timed_out)
         request.timed_out = False
         reason = self._no_retry_reason(now, request, tokens)
         if reason is not None:
-            harmless = request.possibly_processed_by is None or request.idempotency == Idempotency.IDEMPOTENT
+            harmless = request.possibly_processed is None or request.idempotency == Idempotency.IDEMPOTENT
             return self._finish(request, reason, shed=harmless)
         self.retry_tokens -= tokens
         self._send_attempt(now, request)
@@ -368,7 +369,7 @@
             request.idempotency == Idempotency.IDEMPOTENCY_KEY
             and now < request.possibly_processed_at + window
         )
-        if request.possibly_processed_by is not None and not repeatable:
+        if request.possibly_processed is not None and not repeatable:
             return FinalReason.MAY_HAVE_RUN
         if request.attempts >= self.settings.max_attempts:
             return FinalReason.ATTEMPTS_USED
--- a/harecross/policy/endpoint_picker.py
+++ b/harecross/policy/endpoint_picker.py
@@ -7,7 +7,7 @@
 
 from harecross.interface import DeduplicationScope, Idempotency, Settings
 from harecross.policy.outlier_detection import BASE_EJECTION_US, MAX_DOUBLINGS, OutlierDetector
-from harecross.policy.records import Request, Server
+from harecross.policy.records import Attempt, Request, Server
 from harecross.policy.slow_start import SlowStart
 from harecross.policy.subset import Subset
 from harecross.policy.traffic_stats import TrafficStats
@@ -31,8 +31,8 @@
 
     def pick(self, now: int, request: Request) -> Server | None:
         """Returns the server for the next attempt of the request, or None if no server may get it."""
-        if request.possibly_processed_by is not None and request.idempotency == Idempotency.IDEMPOTENCY_KEY:
-            return self._pick_in_scope(now, request, request.possibly_processed_by)
+        if request.possibly_processed is not None and request.idempotency == Idempotency.IDEMPOTENCY_KEY:
+            return self._pick_in_scope(now, request, request.possibly_processed)
         if self.outliers.ejected or self.outliers.ejected_zones:
             probe_target = self._pick_probe(now, request)
             if probe_target is not None:
@@ -106,18 +106,19 @@
                 return server
         return None
 
-    def _pick_in_scope(self, now: int, request: Request, first: Server) -> Server | None:
+    def _pick_in_scope(self, now: int, request: Request, first: Attempt) -> Server | None:
         """Returns a server that discards the repeat of a request that `first` may have processed.
 
-        A server other than `first` and the previous one is preferred. Without one, it returns a server of the
-        scope that has not restarted since the attempt, because a restarted server no longer knows what it has
-        processed.
+        Servers of earlier attempts are avoided, also if they have returned with new records. Without another
+        one, it returns a server of the scope that has not restarted since the attempt, because a restarted
+        server no longer knows what it has processed.
         """
         scope = self.settings.classes[request.request_class].deduplication_scope
         zone = first.zone if scope == DeduplicationScope.ZONE else None
         cell = first.cell if scope == DeduplicationScope.CELL else None
         pool = [m for m in self.subset.eligible if zone in (None, m.zone) and cell in (None, m.cell)]
-        others = [m for m in pool if m is not first and m is not request.previous]
+        used = {server.id for server in (first.server, request.previous) if server is not None}
+        others = [m for m in pool if m.id not in used]
         return self.pick_of_two(
             now, others or [m for m in pool if m.ready_at <= request.possibly_processed_at]
         )
--- a/harecross/policy/outcome_recorder.py
+++ b/harecross/policy/outcome_recorder.py
@@ -34,9 +34,6 @@
     def record(self, now: int, server: Server, request: Request | None, outcome: Outcome, rtt: int) -> None:
         """Records an outcome; `request` is None if it is no longer open."""
         controller = self.subset.controller
-        server.in_flight -= 1
-        if not server.excluded_from_limit:
-            controller.change_in_flight(now, -1, controller.current_limit(), max(self.traffic.mean_rtt))
         server.last_progress_at = now
         if outcome in ENDED_BY_NODE:
             return
--- a/harecross/policy/records.py
+++ b/harecross/policy/records.py
@@ -55,6 +55,8 @@
 
     Attributes:
         excluded_from_limit: Whether its requests do not count against the concurrency limit.
+        open_attempts: The number of attempts without an outcome. The record is kept as long as there is one.
+        in_flight: How many of these load the server, which excludes those whose body is being forwarded.
         probing: Whether a recovery probe is in flight.
         last_progress_at: When the last attempt ended, or when the first one after an idle time was sent.
         newest_answered_sent_at: When the newest of the answered requests was sent.
@@ -75,6 +77,7 @@
     excluded_from_limit: bool = False
     ejected: bool = False
     probing: bool = False
+    open_attempts: int = 0
     in_flight: int = 0
     last_progress_at: int = 0
     last_outcome_at: int = 0
@@ -120,16 +123,35 @@
         return load
 
 
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """An attempt from its sending to its outcome, which may come after the end of its request.
+
+    Attributes:
+        number: The index of the attempt within its request.
+        cell: The cell of the server when the attempt was sent.
+        zone: The zone of the server when the attempt was sent.
+        uploading: Whether the body is being forwarded. The attempt does not load the server meanwhile.
+    """
+
+    server: Server
+    number: int
+    request_class: int
+    cell: int
+    zone: int
+    uploading: bool = False
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """An open request, which has at most one attempt in flight.
 
     Attributes:
-        server: The server of the attempt in flight.
+        attempts: The number of attempts that were sent.
+        attempt: The attempt in flight.
         previous: The server of the previous attempt.
-        possibly_processed_by: The first server that may have processed the request.
-        possibly_processed_at: When the attempt at that server was sent.
-        uploading: Whether the body of the request is being forwarded.
+        possibly_processed: The first attempt whose server may have processed the request; None if none has.
+        possibly_processed_at: When that attempt was sent.
         timed_out: Whether the per-try timeout cancelled the attempt in flight.
     """
 
@@ -138,12 +160,21 @@
     idempotency: Idempotency
     deadline: int
     attempts: int = 0
-    server: Server | None = None
+    attempt: Attempt | None = None
     previous: Server | None = None
     sent_at: int = 0
-    possibly_processed_by: Server | None = None
+    possibly_processed: Attempt | None = None
     possibly_processed_at: int = 0
     response_started: bool = False
     queued: bool = False
-    uploading: bool = False
     timed_out: bool = False
+
+    @property
+    def server(self) -> Server | None:
+        """The server of the attempt in flight."""
+        return self.attempt.server if self.attempt is not None else None
+
+    @property
+    def uploading(self) -> bool:
+        """Whether the body of the request is being forwarded."""
+        return self.attempt is not None and self.attempt.uploading
--- a/harecross/policy/subset.py
+++ b/harecross/policy/subset.py
@@ -59,8 +59,12 @@
         self.zones.setdefault(entry.zone, Zone(entry.zone))
 
     def remove_unused(self) -> None:
-        """Removes servers that are gone, and zones and machine types without servers."""
-        for key in [k for k, s in self.servers.items() if not s.listed and s.in_flight == 0]:
+        """Removes servers that are gone, and zones and machine types without servers.
+
+        A server with an open attempt is kept, also while a body is being forwarded to it: if it returned with
+        a new record, the outcome of that attempt would be subtracted from requests that were counted there.
+        """
+        for key in [k for k, s in self.servers.items() if not s.listed and s.open_attempts == 0]:
             del self.servers[key]
         used = {server.zone for server in self.servers.values()}
         if len(self.zones) > len(used):
