A server that a complete list lacked is no new server to a fresh process after SIGHUP

Cause: the process table keeps statements about servers that a list has named. That the old discovery's list was complete and lacked the server was kept nowhere, so "never heard of" was taken for "has joined".

Change: discovery/absences.py keeps when the current source's list was last confirmed. Nothing is inferred if the two lists have no server in common, nor from a configured list that discovery has not confirmed. Sources and statements moved to discovery/statements.py. One mutation of benchmarks/soak_mutations.py follows the changed text.

--- a/benchmarks/soak_mutations.py
+++ b/benchmarks/soak_mutations.py
@@ -46,8 +46,8 @@
     Mutation(
         "a new discovery is believed at once",
         "discovery/process_table.py",
-        "        earlier = self.earlier_statements.get(name)\n        if earlier is not None:\n",
-        "        earlier = None\n        if earlier is not None:\n",
+        "        for candidate in self.earlier_statements.get(name, {}).values():\n            if candidate.is_leaving",
+        "        for candidate in ():\n            if candidate.is_leaving",
     ),
     Mutation(
         "a timer puts the first list's entries back (the incident)",
--- a/harecross/discovery/discovery_client.py
+++ b/harecross/discovery/discovery_client.py
@@ -10,7 +10,8 @@
 
 from harecross.discovery import wire_format
 from harecross.discovery.endpoint_registry import EndpointListConsumer, EndpointRegistry
-from harecross.discovery.process_table import DiscoverySource, ProcessTable, TableUpdate
+from harecross.discovery.process_table import ProcessTable, TableUpdate
+from harecross.discovery.statements import DiscoverySource
 from harecross.discovery.subscription_schedule import (
     MIGRATION_STALENESS_LIMIT_S,
     CallEnd,
@@ -27,6 +28,9 @@
 # How long the new discovery may lag behind the old one after a migration: the staleness limit, plus one second for
 # changes that it has written and that are still in transit.
 MAX_MIGRATION_LAG_S = MIGRATION_STALENESS_LIMIT_S + 1.0
+# How long the list of the new discovery may have servers that left before the migration: a list may run 9.6 s further
+# behind (BRIEF, 10.2).
+MAX_LIST_LAG_S = 9.6
 # Each retired watch's connection normally ends soon after its migration, so a small limit is enough.
 MAX_RETIRED_WATCHES = 4
 
@@ -77,11 +81,11 @@
         self.poll_tasks: set[asyncio.Task[None]] = set()
         self.sources: dict[int, DiscoverySource] = {0: DiscoverySource("{}:{}".format(*address), 0)}
         self.source_sequence = 0
-        self.table = ProcessTable(self.sources[0])
+        self.table = ProcessTable(self.sources[0], registry.start_times.unix_offset / 1e6)
 
     def use_configured_list(self, configured: Any) -> None:
         """Applies the configured list, an earlier list of the same address. Raises ValueError if it is malformed."""
-        self.table.receive(self.monotonic(), self.sources[0], configured, full=True)
+        self.table.receive(self.monotonic(), self.sources[0], configured, full=True, configured=True)
         self.consumer.apply(configured, cached=True)
         generation = wire_format.generation_of(configured)
         if isinstance(generation, int):
@@ -186,10 +190,11 @@
         if known is not None and (watch in self.retired or not restarted):
             return known
         self.source_sequence += 1
-        may_lag_until = now
+        may_lag_until = absences_count_until = now
         if not restarted and self.migrated_at is not None:
             may_lag_until = self.migrated_at + MAX_MIGRATION_LAG_S
-        source = DiscoverySource(watch.name, self.source_sequence, may_lag_until)
+            absences_count_until = self.migrated_at + MAX_LIST_LAG_S
+        source = DiscoverySource(watch.name, self.source_sequence, may_lag_until, absences_count_until)
         self.sources[watch.epoch] = source
         return source
 
--- a/harecross/discovery/process_table.py
+++ b/harecross/discovery/process_table.py
@@ -10,11 +10,13 @@
 | none, or the server is absent from a full list | any | GONE |
 | draining or gone | any | as the current source states |
 | in service | none, in service, or about an older process | IN_SERVICE |
+| in service | none, but its complete list lacked the server (see `discovery/absences.py`) | QUARANTINED |
 | in service | draining or gone, about this process or a later one | QUARANTINED |
 | in service | in service, about a later process | IN_SERVICE, as the later process |
 
 All statements of earlier sources are dropped once the current source has caught up: at its first change or heartbeat
 after both `may_lag_until` and `REPLAY_SETTLE_S`. A stream preserves order, so all earlier changes have arrived by then.
+Absences from its list count until `absences_count_until`, if that is later.
 Elapsed time alone does not end a quarantine, because a silent discovery confirms nothing.
 
 While the watch of an earlier source is open, its statements still count, and replace those that it made earlier.
@@ -29,6 +31,8 @@
 from typing import Any, NamedTuple
 
 from harecross.discovery import wire_format
+from harecross.discovery.absences import Absences
+from harecross.discovery.statements import DiscoverySource, Statement
 from harecross.discovery.wire_format import Entry, Lifecycle
 
 REPLAY_SETTLE_S = 2.0  # how long a discovery may replay older changes after its first list
@@ -54,45 +58,6 @@
     CAUGHT_UP = "caught up"
 
 
-class DiscoverySource(NamedTuple):
-    """One discovery between two migrations or restarts.
-
-    Attributes:
-        address: The discovery's host and port.
-        sequence: Increases from one source to the next.
-        may_lag_until: Until when the source may lack changes from before the migration, in monotonic seconds.
-    """
-
-    address: str
-    sequence: int
-    may_lag_until: float = -inf
-
-
-class Statement(NamedTuple):
-    """The last statement of one source about one server.
-
-    Attributes:
-        lifecycle: The stated lifecycle.
-        source: The discovery that made the statement.
-        stated_at: When the statement was received, in monotonic seconds.
-        version: The version of the list or change that held it.
-        started_ms: When the process started, in Unix milliseconds; 0 for a process past its slow start.
-        entry: The entry as received.
-    """
-
-    lifecycle: Lifecycle
-    source: DiscoverySource
-    stated_at: float
-    version: object
-    started_ms: int
-    entry: Entry
-
-    @property
-    def is_leaving(self) -> bool:
-        """Whether the process must not receive new requests."""
-        return self.lifecycle is not Lifecycle.IN_SERVICE
-
-
 class Transition(NamedTuple):
     """A state change of a process; `statement` is the statement that determined the new state."""
 
@@ -137,20 +102,26 @@
         tombstones: Servers that the current source stated as gone, the oldest first.
         catching_up: Whether the current source may still lag behind an earlier one.
         caught_up_from: The current source has caught up at its first change or heartbeat from this monotonic time on.
+        absences: Servers that the complete list of an earlier source lacked.
     """
 
-    def __init__(self, source: DiscoverySource) -> None:
+    def __init__(self, source: DiscoverySource, unix_offset_s: float = 0.0) -> None:
+        """`unix_offset_s` is Unix time minus monotonic time, in seconds."""
         self.current_source = source
         self.current_statements: dict[str, Statement] = {}
         self.earlier_statements: dict[str, dict[DiscoverySource, Statement]] = {}
         self.tombstones: dict[str, None] = {}
         self.catching_up = False
         self.caught_up_from = -inf
+        self.absences = Absences(unix_offset_s)
 
-    def receive(self, now: float, source: DiscoverySource, update: Any, *, full: bool) -> TableUpdate:
+    def receive(
+        self, now: float, source: DiscoverySource, update: Any, *, full: bool, configured: bool = False
+    ) -> TableUpdate:
         """Records a list or change; returns the one to apply in its place. Raises ValueError if it is neither.
 
-        `full`: servers that it does not name are gone, as with a list that says so itself.
+        `full`: servers that it does not name are gone, as with a list that says so itself. `configured`: it is a list
+        from before this process started, which may be old.
         """
         entries = wire_format.entries_of(update)
         full = full or wire_format.is_reset(update)
@@ -163,6 +134,10 @@
         if migrates:
             self.switch_source(now, source)
         self.record_all(now, stated, wire_format.generation_of(update), full=full)
+        if migrates and not any(name in self.earlier_statements for name in stated):
+            self.absences.clear()
+        if not configured:
+            self.absences.list_confirmed(source, wire_format.generation_of(update), now)
         transitions = self.transitions_since(before, stated)
         used = [self.replacement_for(entry) for entry in entries]
         caught_up = self.finish_catching_up(now)
@@ -173,6 +148,7 @@
         """Handles a heartbeat, by which the source states that nothing has changed."""
         if source.sequence != self.current_source.sequence:
             return no_update()
+        self.absences.list_confirmed(source, None, now)
         return self.finish_catching_up(now)
 
     def receive_from_earlier(
@@ -191,6 +167,8 @@
         }
         for name, statement in stated.items():
             self.record_earlier(name, statement)
+            if not statement.is_leaving:
+                self.absences.revoke(name, source)
         used, transitions = [], []
         for name, (state, entry) in before.items():
             if self.state(name) is not state:
@@ -236,6 +214,10 @@
 
     def record(self, name: str, statement: Statement) -> None:
         """Records a statement of the current source."""
+        if statement.is_leaving:
+            self.absences.revoke(name)
+        elif name not in self.current_statements and name not in self.earlier_statements:
+            self.absences.infer(name, statement)
         self.current_statements[name] = statement
         self.tombstones.pop(name, None)
         if statement.lifecycle is Lifecycle.GONE:
@@ -266,20 +248,28 @@
         self.current_source = source
         self.catching_up = True
         self.caught_up_from = max(source.may_lag_until, now + REPLAY_SETTLE_S)
+        self.absences.source_switched(max(source.absences_count_until, self.caught_up_from))
 
     def finish_catching_up(self, now: float) -> TableUpdate:
-        """Drops the statements of earlier sources if the current one has caught up; returns the entries that change."""
-        if not self.catching_up or now < self.caught_up_from:
+        """Drops what earlier sources stated if the current one has caught up; returns the entries that change."""
+        drops_statements = self.catching_up and now >= self.caught_up_from
+        drops_absences = self.absences.have_ended(now)
+        if not (drops_statements or drops_absences):
             return no_update()
-        overridden = {name: self.state(name) for name in self.earlier_statements if self.is_overridden(name)}
-        self.catching_up = False
-        self.earlier_statements = {}
+        known_to_earlier = {*self.earlier_statements, *self.absences.statements}
+        overridden = {name: self.state(name) for name in known_to_earlier if self.is_overridden(name)}
+        if drops_statements:
+            self.catching_up = False
+            self.earlier_statements = {}
+        if drops_absences:
+            self.absences.clear()
+        released = {name: state for name, state in overridden.items() if not self.is_overridden(name)}
         transitions = [
             self.transition(name, state, TransitionCause.CAUGHT_UP)
-            for name, state in overridden.items()
+            for name, state in released.items()
             if state is ProcessState.QUARANTINED
         ]
-        entries = [self.current_statements[name].entry for name in overridden]
+        entries = [self.current_statements[name].entry for name in released]
         return TableUpdate(wire_format.change(entries), transitions)
 
     def state(self, name: str) -> ProcessState:
@@ -295,13 +285,12 @@
     def effective_entry(self, name: str) -> Entry:
         """Returns the entry to apply for a server that the current source has made a statement about."""
         statement = self.current_statements[name]
-        earlier = self.earlier_statements.get(name)
-        if earlier is None or statement.is_leaving:
+        if statement.is_leaving:
             return statement.entry
         if self.overriding_statement(name, statement) is not None:
             return {**statement.entry, wire_format.LIFECYCLE: wire_format.TERMINATING}
         latest = statement
-        for candidate in earlier.values():
+        for candidate in self.earlier_statements.get(name, {}).values():
             if candidate.started_ms > latest.started_ms:
                 latest = candidate
         return latest.entry
@@ -319,16 +308,16 @@
 
     def quarantined(self) -> list[str]:
         """Returns the servers that are quarantined although the current source lists them as in service."""
-        return [name for name in self.earlier_statements if self.state(name) is ProcessState.QUARANTINED]
+        known_to_earlier = {*self.earlier_statements, *self.absences.statements}
+        return [name for name in known_to_earlier if self.state(name) is ProcessState.QUARANTINED]
 
     def overriding_statement(self, name: str, statement: Statement) -> Statement | None:
         """Returns an earlier source's statement that this or a later process of the server is draining or gone."""
-        earlier = self.earlier_statements.get(name)
-        if earlier is not None:
-            for candidate in earlier.values():
-                if candidate.is_leaving and candidate.started_ms >= statement.started_ms:
-                    return candidate
-        return None
+        for candidate in self.earlier_statements.get(name, {}).values():
+            if candidate.is_leaving and candidate.started_ms >= statement.started_ms:
+                return candidate
+        absence = self.absences.statements.get(name)
+        return absence if absence is not None and absence.started_ms >= statement.started_ms else None
 
     def all_statements(self, name: str) -> Iterator[Statement]:
         """Yields all statements about a server, the current source's first."""
