A shutdown refuses new handshakes before it empties the backlog, and empties it to the end

What callers saw: connections reset at the end of a shutdown on a busy machine.

Cause: drain_listener emptied the backlog first, while connections arrived as fast as a slow node accepts, and refused new handshakes only afterwards; at the deadline the listener was closed over what was left. Once the deadline has passed, one turn of 16 accepts was made however many waited.

Change: new handshakes are refused first; then the backlog is finite and is emptied for up to 0.2 s beyond the deadline. Without the filter the deadline holds as before.

--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -34,6 +34,8 @@
 # The time for which connections wait in the backlog for a descriptor before they are refused.
 DESCRIPTOR_WAIT_US = 200_000
 BACKLOG_RECHECK_S = 0.005
+# The time beyond the deadline of a shutdown for which the connections in the backlog are accepted. SIGKILL may follow.
+BACKLOG_GRACE_S = 0.2
 # The maximum number of connections accepted in one turn of the event loop. Each uses a descriptor until it is refused.
 MAX_ACCEPTS_PER_TURN = 16
 
@@ -180,7 +182,8 @@
         """Accepts the connections in the backlog and closes the listener.
 
         Closing the listener resets the connections in its backlog, and a request already sent on one of them counts as
-        received.
+        received. New connections are therefore refused first: otherwise a node that accepts slowly could reach its
+        deadline while connections still arrive. Once none arrives, the backlog is emptied beyond the deadline.
 
         Args:
             deadline: The event loop time after which no further connections are accepted.
@@ -188,10 +191,10 @@
         """
         assert self.listener is not None
         self.listener.stop()
-        await self.accept_until_empty(deadline)
         if not shared:
-            await self.listener.refuse_new()
-            await self.accept_until_empty(deadline)
+            refused = await self.listener.refuse_new()
+            deadline += BACKLOG_GRACE_S if refused else 0.0
+        await self.accept_until_empty(deadline)
         await self.listener.close()
 
     async def accept_until_empty(self, deadline: float) -> None:
--- a/harecross/downstream/listener.py
+++ b/harecross/downstream/listener.py
@@ -156,9 +156,11 @@
         connection.close()
         self.on_setup_failed()
 
-    async def refuse_new(self) -> None:
+    async def refuse_new(self) -> bool:
         """Makes the kernel drop new handshakes; handshakes in progress complete and can be accepted.
 
+        Returns whether the kernel does so.
+
         Otherwise, connections that the kernel completes between the last accept and the close would be reset. Do not
         call this on a socket that another process shares, because that process would get no connections either.
         """
@@ -170,10 +172,11 @@
                 await asyncio.sleep(SHORTAGE_PAUSE_S)
             else:
                 await asyncio.sleep(HANDSHAKE_S)
-                return
+                return True
         log_line(
             f"connections established just before the listener closes may be reset: {last_error.strerror}"
         )
+        return False
 
     async def close(self) -> None:
         """Closes the socket and waits for connections that are being set up."""
--- a/tests/test_connection_close_races.py
+++ b/tests/test_connection_close_races.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import select
 import socket
 import struct
+import time
 
 import pytest
 from node_support import SETTINGS, NodeEnvironment, run_with_node
@@ -21,6 +23,7 @@
 
 from harecross.downstream import connection_manager, request_receiver
 from harecross.node import shutdown_schedule
+from harecross.platform.clock import monotonic_us
 
 every_request_kind = pytest.mark.parametrize("kind", REQUEST_KINDS, ids=REQUEST_KIND_NAMES)
 SHORT_DEADLINES = {
@@ -129,6 +132,53 @@
     run_with_node(test, settings=SHORT_DEADLINES)
 
 
+def test_connections_in_the_backlog_of_a_node_that_is_late_are_answered():
+    """Guards against a backlog that is reset because the node has reached the deadline of its shutdown."""
+
+    async def test(env: NodeEnvironment) -> None:
+        for origin in env.upstreams:
+            origin.answer_all()
+        clients = []
+
+        def connect_many_and_be_late() -> None:
+            for _ in range(60):
+                clients.append(BlockingClient(env.node.address))
+                clients[-1].send()
+            deadline_us = env.node.dispatcher.deadlines.shutdown_deadline_us
+            assert deadline_us is not None
+            while monotonic_us() < deadline_us:
+                time.sleep(0.01)
+
+        run_before(env.node.client_connections, "drain_listener", connect_many_and_be_late)
+        env.node.stop_requested.set()
+        await env.task
+        assert all([await status(client) in (200, 503) for client in clients])
+        assert len(clients) == 60
+
+    run_with_node(test, settings=SHORT_DEADLINES)
+
+
+def test_new_connections_are_refused_before_the_backlog_is_emptied():
+    """Guards against connections that arrive as fast as a busy node accepts them, up to the close that resets them."""
+
+    async def test(env: NodeEnvironment) -> None:
+        connected = []
+
+        def connect() -> None:
+            with socket.socket() as client:
+                client.setblocking(False)
+                client.connect_ex(env.node.address)
+                connected.append(bool(select.select([], [client], [], 0)[1]))
+
+        run_before(env.node.client_connections, "drain_listener", connect)
+        run_before(env.node.client_connections, "accept_until_empty", connect)
+        env.node.stop_requested.set()
+        await env.task
+        assert connected == [True, False]
+
+    run_with_node(test, settings=SHORT_DEADLINES)
+
+
 @every_request_kind
 @pytest.mark.parametrize("state", ["silent", "idle", "incomplete head"])
 def test_a_request_that_races_with_a_timeout_sweep_is_answered(kind, state, monkeypatch):
