A server keeps its number while an earlier process of it has requests in flight

What callers saw: nothing yet.

Cause: the registry keeps a server's number while the pool has connections to its current process. A server that restarts gets a new process record with no connection, so that its number was dropped when it left, under the requests of the process before; on its return it was another server: operators saw none of these requests, and a keyed request could be repeated at it as at "another" server of its cell.

Change: the pool keeps earlier processes as long as they have connections and counts these.

Measured: the new test failed before (number gone), passes now.

--- a/harecross/upstream/connection_pool.py
+++ b/harecross/upstream/connection_pool.py
@@ -43,6 +43,7 @@
         malformed_responses: Number of malformed responses received.
         response_variety: Whether different requests may get equal responses.
         processes: The current process of each server, by server number.
+        earlier_processes: Earlier processes of each server that had connections when they were replaced.
         streaming: Connections that carry a streamed body.
         streaming_budget_bytes: Memory budget shared by all streamed responses.
         stream_buffer_bytes: Size of the kernel's receive buffer for a streamed response.
@@ -73,6 +74,7 @@
         self.malformed_responses = 0
         self.response_variety = ResponseVariety()
         self.processes: dict[int, ServerProcess] = {}
+        self.earlier_processes: dict[int, list[ServerProcess]] = {}
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.streaming: set[ServerConnection] = set()
         self.streaming_budget_bytes = 0
@@ -94,6 +96,7 @@
                 old.in_service = True
                 return
             self.take_out_of_service(server)
+            self.earlier_processes[server] = [*self.earlier_with_connections(server), old]
         self.processes[server] = ServerProcess(server, host, int(port), started_at)
 
     def take_out_of_service(self, server: int) -> None:
@@ -104,15 +107,23 @@
             self.close_idle_to_process(process, CloseReason.SERVER_OUT_OF_SERVICE)
 
     def remove_if_unused(self, server: int) -> bool:
-        """Removes a server that is out of service and has no connection; returns whether it is no longer known."""
+        """Removes a server that is out of service and has no connection; returns whether it is no longer known.
+
+        Connections to its earlier processes count as well: they may carry requests that are known by its number.
+        """
         process = self.processes.get(server)
         if process is None:
             return True
-        if process.in_service or process.connection_count:
+        if process.in_service or process.connection_count or self.earlier_with_connections(server):
             return False
         del self.processes[server]
+        self.earlier_processes.pop(server, None)
         return True
 
+    def earlier_with_connections(self, server: int) -> list[ServerProcess]:
+        """Returns the earlier processes of a server that still have connections."""
+        return [process for process in self.earlier_processes.get(server, []) if process.connection_count]
+
     def close_idle_connections(self, server: int) -> None:
         """Closes the idle connections to an ejected server."""
         process = self.processes.get(server)
--- a/tests/test_node_attempts.py
+++ b/tests/test_node_attempts.py
@@ -9,7 +9,11 @@
     Client,
     NodeEnvironment,
     ReceivedRequest,
+    ScriptedDiscovery,
+    entry,
+    line,
     run_with_node,
+    wait_until,
 )
 
 from harecross.interface import Outcome
@@ -271,3 +275,30 @@
         assert {(await client.answer())[0] for client in clients} == {200}
 
     run_with_node(test, servers=4)
+
+
+def test_a_server_keeps_its_number_while_its_earlier_process_has_a_request_in_flight():
+    """Guards against a request that counts for another server, because its own has restarted, left and returned."""
+
+    async def test(env: NodeEnvironment) -> None:
+        watch, registry = await env.watch(), env.node.registry
+        client = await env.client()
+        client.send()
+        request = await env.upstreams[0].received.get()
+        number = registry.numbers["s0"]
+        restarted = entry("s0", env.upstreams[0].address, startedAtMs=1)
+        for version, each in enumerate((restarted, {**restarted, "lifecycle": "terminated"}), 42):
+            ScriptedDiscovery.push(watch, line(version, each))
+            await wait_until(lambda version=version: env.node.discovery.current.generation == version)
+        assert registry.numbers.get("s0") == number
+        ScriptedDiscovery.push(watch, line(44, restarted))
+        await wait_until(lambda: registry.listed)
+        assert registry.numbers["s0"] == number
+        request.answer()
+        assert (await client.answer())[0] == 200
+        ScriptedDiscovery.push(watch, line(45, {**restarted, "lifecycle": "terminated"}))
+        await wait_until(lambda: env.node.discovery.current.generation == 45)
+        assert "s0" not in registry.numbers
+        assert not env.node.pool.earlier_processes
+
+    run_with_node(test, servers=1)
