Test of the last answers at a shutdown: its preparation looks where the last bytes are

At times the kernel had taken them all, and the preparation failed at `assert unsent_bytes() > 0`.

Replaced as strictly: ask_until_last_bytes_wait ends only when no request is open and bytes wait in the node after the kernel has had 50 ms to take some; if the kernel has them all, another answer is asked for. Both conditions are asserted before the node is stopped, as before; the test asserts besides that every answer of the connection is whole.

--- a/tests/test_streamed_responses.py
+++ b/tests/test_streamed_responses.py
@@ -179,13 +179,24 @@
 }
 
 
-async def wait_until_the_server_is_done(env, sock: socket.socket) -> bytes:
-    """Reads an answer up to the moment at which its last bytes wait in the node; returns what was read."""
-    received = b""
-    while env.node.dispatcher.requests or not received:
-        received += await asyncio.get_running_loop().sock_recv(sock, 8000)
-        await asyncio.sleep(0.001)
-    assert env.node.client_connections.unsent_bytes() > 0
+SETTLE_S = 0.05  # the time in which the kernel takes what it has room for
+
+
+async def ask_until_last_bytes_wait(env, sock: socket.socket) -> bytes:
+    """Asks for answers until the last bytes of one wait in the node; returns what was read.
+
+    The end of a request does not tell where its last bytes are: the kernel may have taken them, as far as its buffer
+    had room. Then another answer is asked for. Bytes that are in the node after the kernel has had the time to take
+    some wait there until the client reads.
+    """
+    dispatcher, connections, received = env.node.dispatcher, env.node.client_connections, b""
+    loop = asyncio.get_running_loop()
+    while dispatcher.requests or not connections.unsent_bytes():
+        if not dispatcher.requests:
+            await loop.sock_sendall(sock, b"GET /read/1" + HEAD + b"\r\n")
+            await wait_until(lambda: dispatcher.requests)
+        received += await loop.sock_recv(sock, 8000)
+        await asyncio.sleep(0.001 if dispatcher.requests else SETTLE_S)
     return received
 
 
@@ -202,8 +213,9 @@
         sock.settimeout(0)
         loop = asyncio.get_running_loop()
         await loop.sock_connect(sock, env.node.address)
-        await loop.sock_sendall(sock, b"GET /read/1" + HEAD + b"\r\n")
-        received = await wait_until_the_server_is_done(env, sock)
+        received = await ask_until_last_bytes_wait(env, sock)
+        assert not env.node.dispatcher.requests
+        assert env.node.client_connections.unsent_bytes() > 0
         env.node.stop_requested.set()
         await wait_until(lambda: all(c.transport.is_closing() for c in env.node.client_connections.open))
         if reads:
@@ -212,6 +224,7 @@
             while part := await loop.sock_recv(sock, 1 << 20):
                 received += part
             assert received.endswith(body)
+            assert received.count(body) == received.count(b"HTTP/1.1 200 OK")
         await env.task
         sock.close()
 
