A process leaves the listening socket only to one that states that it accepts

Cause: other_processes() counts live processes by their locked files; one that is itself shutting down counted as one that keeps serving.

Change: a process states its phase in its lock file (starting, accepting, leaving). HandoverStore.leave_listener states "leaving" and asks for another that accepts under one lock, so that two that stop at once do not leave the socket to each other. While another is starting, the process accepts on until that one does, within its own schedule. Empty files of earlier versions count as accepting.

The new test of two processes failed before.

Tried: leaving only to a process that accepts already. test_a_process_replaces_another_on_one_listening_socket failed, rightly: it sends SIGTERM while the successor is starting.

--- a/harecross/node/admin_operations.py
+++ b/harecross/node/admin_operations.py
@@ -16,7 +16,7 @@
 from harecross.downstream.connection_manager import ConnectionManager
 from harecross.node import learned_state
 from harecross.node.admin_server import AdminAnswer, AdminServer
-from harecross.node.handover_store import HandoverStore
+from harecross.node.handover_store import HandoverStore, ProcessPhase
 from harecross.node.maintenance import MaintenanceState, maintenance_changes
 from harecross.platform.clock import monotonic_us
 from harecross.platform.durable_file import UnsyncedReplaceError
@@ -95,6 +95,7 @@
     def node_started(self) -> None:
         """Called once the node accepts clients. Starts the periodic refresh of the maintenance state."""
         self.started_at = self.loop.time()
+        self.store.publish(ProcessPhase.ACCEPTING)
         self.refresh_periodically()
 
     def close(self) -> None:
--- a/harecross/node/composition.py
+++ b/harecross/node/composition.py
@@ -54,6 +54,16 @@
         operations = self.admin_operations
         return operations.store.other_processes() if operations is not None else 0
 
+    def leave_listener(self) -> bool:
+        """States that this process stops accepting; returns whether another process of this node accepts."""
+        operations = self.admin_operations
+        return operations is not None and operations.store.leave_listener()
+
+    def another_is_starting(self) -> bool:
+        """Returns whether another process of this node is about to accept."""
+        operations = self.admin_operations
+        return operations is not None and operations.store.another_is_starting()
+
     def divide_resources(self) -> None:
         """Divides descriptors and memory with another process of this node, if one is running."""
         self.resource_shares.divide(2 if self.other_processes() else 1)
--- a/harecross/node/graceful_shutdown.py
+++ b/harecross/node/graceful_shutdown.py
@@ -18,6 +18,7 @@
 
 SLOW_READER_TIMEOUT_S = SLOW_READER_TIMEOUT_US / 1e6
 POLL_INTERVAL_S = 0.01
+HANDOVER_POLL_INTERVAL_S = 0.05  # each poll reads the folder that the processes share
 
 
 class GracefulShutdown:
@@ -37,7 +38,8 @@
     async def run(self) -> None:
         """Returns once every received request is answered and all parts but the admin server are closed."""
         schedule = self.start()
-        if self.options.inherited_listener is not None and self.parts.other_processes():
+        another_accepts = await self.hand_over_listener(schedule)
+        if self.options.inherited_listener is not None and another_accepts:
             await self.leave_listener_to_other_process(schedule)
         else:
             await self.drain_listener(schedule)
@@ -63,6 +65,16 @@
         )
         return schedule
 
+    async def hand_over_listener(self, schedule: ShutdownSchedule) -> bool:
+        """Returns whether another process accepts. Accepts on while one is starting, as long as the schedule allows."""
+        while not self.parts.leave_listener():
+            if self.loop.time() >= self.began_at + schedule.close_listener_s:
+                return False
+            if self.options.inherited_listener is None or not self.parts.another_is_starting():
+                return False
+            await asyncio.sleep(HANDOVER_POLL_INTERVAL_S)
+        return True
+
     async def leave_listener_to_other_process(self, schedule: ShutdownSchedule) -> None:
         """Stops accepting connections at once, because another process accepts them on the same listening socket."""
         log_line("another process keeps serving on this listening socket")
@@ -76,7 +88,7 @@
         """Fails health checks, drains the connections, and closes the listener once no more connections arrive."""
         connections = self.parts.client_connections
         connections.health_check_failing = True
-        await asyncio.sleep(schedule.drain_connections_s)
+        await asyncio.sleep(max(0.0, self.began_at + schedule.drain_connections_s - self.loop.time()))
         connections.draining = True
         connections.close_idle()
         await asyncio.sleep(max(0.0, self.began_at + schedule.close_listener_s - self.loop.time()))
--- a/harecross/node/handover_store.py
+++ b/harecross/node/handover_store.py
@@ -1,5 +1,7 @@
 """Files that the processes of one node share: maintenance state, learned state, and a lock for each live process.
 
+The lock file of a process states what it does with the listening socket.
+
 The maintenance file is replaced as a whole by a rename, under a lock, so that a kill at any moment leaves either the
 old state or the new one. The kernel releases the locks of a killed process.
 """
@@ -12,7 +14,8 @@
 import secrets
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from contextlib import ExitStack, contextmanager, suppress
+from enum import Enum
 from pathlib import Path
 
 from harecross.node.maintenance import MaintenanceState
@@ -22,6 +25,18 @@
 LEARNED_STATE_MAX_AGE_S = 5.0  # an older snapshot is not imported
 
 
+class ProcessPhase(Enum):
+    """What a process does with the listening socket, as it states in its lock file.
+
+    The texts have one length, so that a single write replaces one by another. A process of an earlier version leaves
+    its file empty; it counts as accepting, as it did then.
+    """
+
+    STARTING = b"starting \n"
+    ACCEPTING = b"accepting\n"
+    LEAVING = b"leaving  \n"
+
+
 class HandoverStore:
     """The files of the node `name` in `folder`. Without a folder the maintenance state is kept only in memory.
 
@@ -109,8 +124,33 @@
         new = self.process_lock_path.with_name(f".{self.process_lock_path.name}")
         self.process_lock = os.open(new, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         fcntl.flock(self.process_lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        self.publish(ProcessPhase.STARTING)
         os.rename(new, self.process_lock_path)
 
+    def publish(self, phase: ProcessPhase) -> None:
+        """States to the other processes of the node what this one does with the listening socket."""
+        if self.process_lock is not None:
+            with suppress(OSError):  # the other processes keep to the last phase
+                os.pwrite(self.process_lock, phase.value, 0)
+
+    def leave_listener(self) -> bool:
+        """States that this process stops accepting; returns whether another process accepts.
+
+        The check and the statement are one step for all processes of the node. Otherwise two of them could each leave
+        the listening socket to the other.
+        """
+        if self.maintenance_path is None:
+            return False
+        with ExitStack() as stack:
+            try:
+                stack.enter_context(exclusive_lock(self.maintenance_path.with_suffix(".lock")))
+            except OSError as error:
+                log_line(
+                    f"{self.maintenance_path}: leaving the listening socket without a lock: {error.strerror}"
+                )
+            self.publish(ProcessPhase.LEAVING)
+            return ProcessPhase.ACCEPTING in self.other_phases()
+
     def release_process_lock(self) -> None:
         """Removes this process from the processes that serve as this node."""
         if self.process_lock is not None and self.process_lock_path is not None:
@@ -118,15 +158,29 @@
             os.close(self.process_lock)
             self.process_lock = None
 
+    def another_is_starting(self) -> bool:
+        """Returns whether another process of this node is about to accept."""
+        return ProcessPhase.STARTING in self.other_phases()
+
     def other_processes(self) -> int:
         """Returns how many other processes serve under this node's name."""
+        return len(self.other_phases())
+
+    def other_phases(self) -> list[ProcessPhase]:
+        """Returns the phases of the other live processes of this node."""
         own = self.process_lock_path
         if own is None:
-            return 0
-        return sum(
-            name.startswith(self.process_lock_prefix) and name != own.name and is_locked(own.with_name(name))
-            for name in os.listdir(own.parent)
-        )
+            return []
+        names = [name for name in os.listdir(own.parent) if name.startswith(self.process_lock_prefix)]
+        others = [own.with_name(name) for name in names if name != own.name]
+        return [read_phase(path) for path in others if is_locked(path)]
+
+
+def read_phase(path: Path) -> ProcessPhase:
+    """Returns the phase that the process of a lock file states."""
+    with suppress(OSError, ValueError):
+        return ProcessPhase(path.read_bytes())
+    return ProcessPhase.ACCEPTING
 
 
 def is_locked(path: Path) -> bool:
--- a/harecross/node/node.py
+++ b/harecross/node/node.py
@@ -137,9 +137,9 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
-        log_line(f"listening on {self.address[0]}:{self.address[1]}")
         if self.admin_operations is not None:
             self.admin_operations.node_started()
+        log_line(f"listening on {self.address[0]}:{self.address[1]}")
         self.started.set()
 
     async def shut_down(self) -> None:
--- a/tests/test_handover_store.py
+++ b/tests/test_handover_store.py
@@ -7,11 +7,13 @@
 import signal
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
 
-from harecross.node.handover_store import HandoverStore
+from harecross.node import handover_store
+from harecross.node.handover_store import HandoverStore, ProcessPhase
 from harecross.node.maintenance import MaintenanceState
 
 ROOT = Path(__file__).parent.parent
@@ -67,6 +69,65 @@
     assert not os.listdir(tmp_path)
 
 
+def locked_store(folder: Path, phase: ProcessPhase | None = None) -> HandoverStore:
+    """Returns the store of a live process of node n0 in the given phase."""
+    store = HandoverStore(str(folder), "n0")
+    store.acquire_process_lock()
+    if phase is not None:
+        store.publish(phase)
+    return store
+
+
+@pytest.mark.parametrize(
+    ("phase", "accepts"),
+    [(None, False), (ProcessPhase.ACCEPTING, True), (ProcessPhase.LEAVING, False)],
+    ids=["starting", "accepting", "leaving"],
+)
+def test_the_listening_socket_is_left_only_to_a_process_that_says_that_it_accepts(phase, accepts, tmp_path):
+    """Guards against a process that leaves the socket to one that does not accept yet, or no more."""
+    other, own = locked_store(tmp_path, phase), locked_store(tmp_path, ProcessPhase.ACCEPTING)
+    assert own.leave_listener() is accepts
+    assert own.another_is_starting() is (phase is None)
+    assert own.other_processes() == 1
+    assert not other.leave_listener()
+    for store in (own, other):
+        store.release_process_lock()
+
+
+def test_of_two_processes_that_leave_at_once_one_goes_on_accepting(tmp_path):
+    """Guards against two processes that each leave the socket to the other."""
+    stores = [locked_store(tmp_path, ProcessPhase.ACCEPTING) for _ in range(2)]
+    with ThreadPoolExecutor(len(stores)) as pool:
+        assert sorted(pool.map(HandoverStore.leave_listener, stores)) == [False, True]
+    for store in stores:
+        store.release_process_lock()
+
+
+def test_a_process_of_an_earlier_version_counts_as_accepting(tmp_path):
+    """Guards against an upgrade by which the old process and the new one both drain; its lock file is empty."""
+    earlier, own = locked_store(tmp_path), locked_store(tmp_path, ProcessPhase.ACCEPTING)
+    assert earlier.process_lock is not None
+    os.ftruncate(earlier.process_lock, 0)
+    assert own.leave_listener()
+    for store in (own, earlier):
+        store.release_process_lock()
+
+
+def test_leaving_without_a_lock_on_the_folder_is_logged_and_goes_on(tmp_path, capfd, monkeypatch):
+    """Guards against a shutdown that ends with an exception because the disk is full."""
+    other, own = (locked_store(tmp_path, ProcessPhase.ACCEPTING) for _ in range(2))
+
+    def fail(*_: object) -> int:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(handover_store, "exclusive_lock", fail)
+        assert own.leave_listener()
+    assert "No space left on device" in capfd.readouterr().err
+    for store in (own, other):
+        store.release_process_lock()
+
+
 @pytest.mark.parametrize("call", ["write", "fsync", "replace"])
 @pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO], ids=errno.errorcode.get)
 def test_an_update_that_cannot_be_written_raises_and_leaves_the_old_state(call, error, tmp_path, monkeypatch):
--- a/tests/test_two_processes.py
+++ b/tests/test_two_processes.py
@@ -98,6 +98,27 @@
     run_with_site(test, tmp_path)
 
 
+def test_a_process_goes_on_accepting_while_only_a_leaving_process_is_left(tmp_path):
+    """Guards against a planned restart soon after a replacement: nobody accepted any more."""
+
+    async def test(site: MultiProcessSite) -> None:
+        async with site.node() as old:
+            busy = await site.client()
+            busy.send()
+            held = await site.upstreams[0].received.get()  # keeps the old process until the end
+            async with site.node() as new:
+                old.stop_requested.set()
+                await wait_until(lambda: old.client_connections.draining)
+                new.stop_requested.set()
+                await wait_until(lambda: new.client_connections.health_check_failing)
+                assert {await site.send_and_identify_server() for _ in range(8)} == {0}
+                assert new.dispatcher.statistics.final_answers["served"] == 8
+                held.answer()
+                assert (await busy.answer())[0] == 200
+
+    run_with_site(test, tmp_path)
+
+
 def start_process(site: MultiProcessSite, folder: Path, number: int, fd: int) -> subprocess.Popen:
     config = config_dict(site.discovery_server.address, admin="127.0.0.1:0", known=site.known)
     path = folder / f"config{number}.json"
