--- a/harecross/node/handover_store.py
+++ b/harecross/node/handover_store.py
@@ -57,6 +57,8 @@
             Path(folder) / f"{self.process_lock_prefix}{secrets.token_hex(6)}" if folder else None
         )
         self.list_path = Path(folder) / f"{stem}.list" if folder else None
+        # Not the lock of the maintenance file, which is held while that is written to the disk.
+        self.leaving_lock_path = Path(folder) / f"{stem}.leaving" if folder else None
         self.process_lock: int | None = None
         self.folder_changed_ns = 0
 
@@ -164,14 +166,14 @@
         The check and the statement are one step for all processes of the node. Otherwise two of them could each leave
         the listening socket to the other.
         """
-        if self.maintenance_path is None:
+        if self.leaving_lock_path is None:
             return False
         with ExitStack() as stack:
             try:
-                stack.enter_context(exclusive_lock(self.maintenance_path.with_suffix(".lock")))
+                stack.enter_context(exclusive_lock(self.leaving_lock_path))
             except OSError as error:
                 log_line(
-                    f"{self.maintenance_path}: leaving the listening socket without a lock: {error.strerror}"
+                    f"{self.leaving_lock_path}: leaving the listening socket without a lock: {error.strerror}"
                 )
             self.publish(ProcessPhase.LEAVING)
             return ProcessPhase.ACCEPTING in self.other_phases()
--- a/tests/streaming_support.py
+++ b/tests/streaming_support.py
@@ -47,6 +47,15 @@
     run_with_node(with_servers, **more)
 
 
+async def connect_slow_reader(address: tuple[str, int]) -> socket.socket:
+    """Returns a non-blocking connection with a small receive buffer, so that most of a response waits at the sender."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.settimeout(0)
+    await asyncio.get_running_loop().sock_connect(sock, address)
+    return sock
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Closes a connection with a TCP reset."""
     linger = struct.pack("ii", 1, 0)
--- a/tests/test_responses_at_shutdown.py
+++ b/tests/test_responses_at_shutdown.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import pytest
 from node_support import HEAD, Client, NodeEnvironment, wait_until
-from streaming_support import LARGE_BODY, RESPONSE_FRAMINGS, Peer, run_with_peers, server_that_sends
+from streaming_support import (
+    LARGE_BODY,
+    RESPONSE_FRAMINGS,
+    Peer,
+    connect_slow_reader,
+    run_with_peers,
+    server_that_sends,
+)
 
 from harecross.dispatch.dispatcher import RequestDispatcher
 from harecross.downstream import connection_manager
@@ -153,11 +159,7 @@
     body = LARGE_BODY[: MAX_HELD_RESPONSE_BYTES - 1]
 
     async def test(env) -> None:
-        client = socket.socket()
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        client.settimeout(0)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(client, env.node.address)
+        loop, client = asyncio.get_running_loop(), await connect_slow_reader(env.node.address)
         text = b"GET /read/1" + HEAD + b"\r\n"
         await loop.sock_sendall(client, text)
         received = b""
--- a/tests/test_streamed_responses.py
+++ b/tests/test_streamed_responses.py
@@ -10,6 +10,7 @@
 from streaming_support import (
     LARGE_BODY,
     RESPONSE_FRAMINGS,
+    connect_slow_reader,
     reset_connection,
     run_with_peers,
     server_that_sends,
@@ -208,11 +209,7 @@
     body = LARGE_BODY * 4
 
     async def test(env) -> None:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.settimeout(0)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(sock, env.node.address)
+        loop, sock = asyncio.get_running_loop(), await connect_slow_reader(env.node.address)
         received = await ask_until_last_bytes_wait(env, sock)
         assert not env.node.dispatcher.requests
         assert env.node.client_connections.unsent_bytes() > 0
