The report line tells resident memory, held bytes by owner and the event loop's lag

Cause: the incident's logs do not show how large a process was, what it held, or how late its loop was before it was killed; the lag was logged above 50 ms only.

--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -189,6 +189,19 @@
         self.buffered_bytes += size
         self.owner.buffered_body_bytes += size
 
+    def uploads(self) -> list[Upload]:
+        """Returns the uploads that this connection holds: the one that is received, and those of its requests."""
+        requests = [item for item in self.pending if isinstance(item, ParsedRequest)]
+        candidates = [self.incoming_upload, self.current_upload, *(request.upload for request in requests)]
+        return [upload for upload in candidates if upload is not None]
+
+    def held_message_bytes(self) -> int:
+        """Returns the bytes of heads and whole bodies that this connection holds."""
+        bodies = len(self.body) + sum(
+            len(item.body) for item in self.pending if isinstance(item, ParsedRequest)
+        )
+        return bodies + self.head_size
+
     def is_idle(self) -> bool:
         """Returns whether no request is being received, pending or being handled, and no response is unread."""
         return not (self.busy or self.pending or self.receiving or self.input_closed or self.write_blocked)
--- a/harecross/node/sweeper.py
+++ b/harecross/node/sweeper.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from harecross.node.composition import NodeParts
+from harecross.node.memory_report import memory_fields
 from harecross.platform.log import log_line
 
 SWEEP_INTERVAL_S = 0.25
@@ -57,6 +58,6 @@
     def report(self) -> None:
         """Writes the report line."""
         connections = self.parts.client_connections
-        self.parts.dispatcher.report(
-            connections.bad_requests, connections.refused_connections, self.parts.membership.report_fields()
-        )
+        fields = {**self.parts.membership.report_fields(), **memory_fields(self.parts)}
+        fields["lag_ms"] = round(self.event_loop_lag_s * 1000)
+        self.parts.dispatcher.report(connections.bad_requests, connections.refused_connections, fields)
--- /dev/null
+++ b/harecross/platform/process_memory.py
@@ -0,0 +1,34 @@
+"""The memory of this process, as the kernel counts it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+
+STATUS_PATH = Path("/proc/self/status")
+KILOBYTE = 1024
+
+
+class ResidentMemory(NamedTuple):
+    """The resident size of this process in bytes: now, and the largest since its start."""
+
+    current: int
+    peak: int
+
+
+def parse_status(text: str) -> ResidentMemory:
+    """Returns the resident memory that a status file tells (proc(5)); 0 for a value that it lacks."""
+    fields = dict(line.split(":", 1) for line in text.splitlines() if ":" in line)
+    current, peak = (fields.get(name, "").split() for name in ("VmRSS", "VmHWM"))
+    return ResidentMemory(
+        int(current[0]) * KILOBYTE if current else 0,
+        int(peak[0]) * KILOBYTE if peak else 0,
+    )
+
+
+def resident_memory() -> ResidentMemory:
+    """Returns the resident memory of this process; zeros if the kernel does not tell."""
+    try:
+        return parse_status(STATUS_PATH.read_text(encoding="ascii", errors="replace"))
+    except (OSError, ValueError):
+        return ResidentMemory(0, 0)
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -320,6 +320,14 @@
         else:
             self.transport.resume_reading()
 
+    def unsent_bytes(self) -> int:
+        """Returns the number of bytes that the kernel has not accepted yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def held_response_bytes(self) -> int:
+        """Returns the number of bytes of the response that are not passed on yet."""
+        return len(self.parser.received) + len(self.parser.body) if self.parser is not None else 0
+
     def rested(self, now: int) -> bool:
         """Returns whether the next response on this idle connection cannot be confused with an earlier one.
 
--- a/harecross/upstream/exchange.py
+++ b/harecross/upstream/exchange.py
@@ -36,6 +36,12 @@
     def set_read_paused(self, paused: bool) -> None:
         """Pauses or resumes reading the response."""
 
+    def unsent_bytes(self) -> int:
+        """Returns the number of bytes that the kernel has not accepted yet."""
+
+    def held_response_bytes(self) -> int:
+        """Returns the number of bytes of the response that are not passed on yet."""
+
     def abandon_exchange(self, exchange: Exchange) -> None:
         """Closes the connection, because the response could still arrive on it. Does not report an outcome."""
 
