--- /dev/null
+++ b/tests/test_memory_account.py
@@ -0,0 +1,63 @@
+"""The bytes that a node holds for its peers stay within its budget, whatever the peers do."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from node_support import NodeEnvironment, run, run_with_node, wait_until
+
+from benchmarks.other_clients import measure
+from harecross.http.body_buffer import MAX_BUFFERED_BODY_BYTES
+from harecross.node.memory_report import held_bytes
+from harecross.soak.abusive_clients import WRITTEN_UPLOAD_BYTES, upload_head
+
+MEMORY_MB = 96
+ONE_READ_BYTES = 1 << 14
+CLIENTS = 40
+
+
+def test_an_upload_is_dropped_when_its_request_is_answered_by_the_node():
+    """Guards against bytes of a body that nothing reads any more and no budget counts."""
+
+    async def test(env: NodeEnvironment) -> None:
+        head = upload_head("Content-Length: 1000000", "same") + bytes(WRITTEN_UPLOAD_BYTES)
+        first = await env.client()
+        first.writer.write(head)
+        await wait_until(lambda: env.node.dispatcher.requests)
+        others = [await env.client() for _ in range(CLIENTS)]
+        for other in others:
+            other.writer.write(head)
+            assert (await other.answer())[0] == 409
+        assert held_bytes(env.node.parts)["upload"] <= MAX_BUFFERED_BODY_BYTES + ONE_READ_BYTES
+
+    run_with_node(test)
+
+
+def test_the_body_of_an_answered_request_is_not_kept():
+    """Guards against bodies that idle connections keep until their next request."""
+
+    async def test(env: NodeEnvironment) -> None:
+        env.upstreams[0].answer_all()
+        clients = [await env.client() for _ in range(CLIENTS)]
+        for client in clients:
+            client.send("/pay/1", body=bytes(50_000))
+            assert (await client.answer())[0] == 200
+        await asyncio.sleep(0.05)
+        assert held_bytes(env.node.parts)["body"] == 0
+
+    run_with_node(test)
+
+
+@pytest.mark.parametrize(
+    "kind", ["half uploads", "half uploads of one id", "half small bodies", "slow readers"]
+)
+def test_a_node_stays_within_half_of_the_memory_of_the_pages(kind):
+    """Guards against many peers that together make a real process pass its limit."""
+
+    async def test() -> None:
+        memory = (await measure(kind, 850, seconds=4, memory_mb=MEMORY_MB, servers=80)).memory
+        assert memory is not None
+        assert memory.peak < MEMORY_MB << 20
+
+    run(test())
--- a/tests/test_memory_report.py
+++ b/tests/test_memory_report.py
@@ -13,12 +13,15 @@
 
 
 def test_the_status_file_tells_the_resident_size_and_its_peak():
+    """Guards against figures that are read from the wrong lines."""
     assert parse_status("VmHWM:\t  2048 kB\nVmRSS:\t  1024 kB\n") == ResidentMemory(1 << 20, 1 << 21)
     assert parse_status("Name:\tx\n") == ResidentMemory(0, 0)
     assert 1 << 20 < resident_memory().current <= resident_memory().peak
 
 
 def test_the_held_bytes_are_those_of_the_open_messages():
+    """Guards against bytes that no owner counts."""
+
     async def test(env) -> None:
         client = await env.client()
         head = b"POST /put/1 HTTP/1.1\r\nX-Request-ID: r\r\nX-Timeout: 900m\r\nIdempotency-Key: k\r\n"
