A client's input gets a bounded share of each turn of the event loop

Seen: while one client pipelined health checks, 70 of 100 other requests came late (six clients: 74); 400 connections with one-byte chunks: 93. Cause: a read of up to 256 KB, and up to 32 of them, was parsed and answered in one turn; limits counted requests of one connection, not local answers, and nothing summed over connections. Change: reads of 16 KB into one shared buffer (BufferedProtocol); a connection parses slices up to 32 messages or chunks a turn, all together 2 ms; what is left waits in two queues, floods behind the others, and is not read meanwhile; the wait counts as read delay.

--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -5,24 +5,19 @@
 import asyncio
 from typing import cast
 
-from httptools import HttpParserError, HttpRequestParser
+from httptools import HttpRequestParser
 
 from harecross.dispatch.close_reasons import ClosedConnection, CloseReason
 from harecross.downstream.connection_state import LocalResponse
-from harecross.downstream.read_delay import UNKNOWN_AGE_US, UnreadInterval, last_data_age
-from harecross.downstream.request_receiver import RequestReceiver
+from harecross.downstream.input_reader import InputReader
 from harecross.downstream.response_sender import ResponseSender
 from harecross.http.body_buffer import Upload
-from harecross.http.request_parser import MAX_HEAD_BYTES, BadRequestError, ParsedRequest
-from harecross.platform.clock import monotonic_us
+from harecross.http.request_parser import ParsedRequest
 from harecross.platform.log import log_exception
 from harecross.platform.peer_state import has_no_pending_events, peer_has_closed
 
-# The number of bytes that are read and discarded after the input was closed. Reading is paused beyond it.
-MAX_DISCARDED_BYTES = 1 << 18
 
-
-class ClientConnection(RequestReceiver, ResponseSender):
+class ClientConnection(InputReader, ResponseSender):
     """One client connection. Handles one request at a time; pipelined requests are queued in `pending`."""
 
     __slots__ = ()
@@ -40,6 +35,7 @@
         self.owner.connection_closed(self)
         self.transport = self.parser = None
         self.pending.clear()
+        self.unparsed = b""
         self.incoming_upload = self.current_upload = None
         self.buffer_bytes(-self.buffered_bytes)
         request, self.request = self.request, None
@@ -50,28 +46,6 @@
         if request is not None:
             self.owner.dispatcher.client_disconnected(request)
 
-    def data_received(self, data: bytes) -> None:
-        """Parses received data and handles the requests that are complete."""
-        if self.parser is None or self.transport is None:
-            return
-        if self.input_closed:
-            self.discard(len(data), self.transport)
-            return
-        self.last_read_delay_us = self.read_delay.measure(monotonic_us(), self.sock)
-        try:
-            self.parser.feed_data(data)
-        except HttpParserError as error:
-            # An exception raised in a callback is the context of the parser's exception.
-            inner = error.__context__
-            self.reject_input(inner.status if isinstance(inner, BadRequestError) else 400)
-        except BadRequestError as error:
-            self.reject_input(error.status)
-        else:
-            if self.receiving:
-                self.limit_unparsed_head(len(data))
-        self.handle_pending()
-        self.pause_reading_if_behind()
-
     def pause_writing(self) -> None:
         """Called when the write buffer is full: pauses a streamed response and holds back further responses."""
         self.write_blocked = True
@@ -95,60 +69,6 @@
         if self.is_idle():
             self.owner.mark_idle(self)
 
-    def discard(self, size: int, transport: asyncio.Transport) -> None:
-        """Discards data received after the input was closed; pauses reading beyond `MAX_DISCARDED_BYTES`."""
-        self.discarded_bytes += size
-        if self.discarded_bytes > MAX_DISCARDED_BYTES and not self.reading_paused:
-            self.reading_paused = True
-            transport.pause_reading()
-
-    def limit_unparsed_head(self, size: int) -> None:
-        """Rejects a head of which the parser buffers too many bytes without calling back."""
-        self.last_data_us = monotonic_us()
-        starts = self.unparsed_head_bytes < 0 or self.head_complete
-        self.unparsed_head_bytes = 0 if starts else self.unparsed_head_bytes + size
-        if self.unparsed_head_bytes > MAX_HEAD_BYTES:
-            self.reject_input(431)
-
-    def pause_reading_if_behind(self) -> None:
-        """Pauses reading while a request is pending or while the buffer of an upload to a server is full."""
-        if self.reading_paused or self.input_closed or self.transport is None:
-            return
-        if self.incoming_upload is not None and self.incoming_upload.full:
-            self.waited_for_server = True
-            # No receive timeout runs for a client while nothing is read from it.
-            self.owner.unmark(self)
-        elif not self.pending:
-            return
-        self.reading_paused, self.paused_at_us = True, monotonic_us()
-        self.transport.pause_reading()
-        self.limit_paused_upload()
-
-    def limit_paused_upload(self) -> None:
-        """Starts the timeout of the current request if its body is not being read."""
-        upload = self.incoming_upload
-        if (
-            self.reading_paused
-            and self.request is not None
-            and upload is not None
-            and upload is self.current_upload
-        ):
-            self.owner.dispatcher.body_paused(self.request, self.last_arrival_us)
-
-    def last_arrival_us(self) -> int:
-        """Returns when the last bytes arrived; when reading was paused if the kernel does not tell."""
-        age_us = last_data_age(self.sock)
-        if age_us == UNKNOWN_AGE_US:
-            return self.paused_at_us
-        return max(self.message_began_us, monotonic_us() - age_us)
-
-    def resume_reading(self) -> None:
-        """Resumes reading; data that arrived during the pause counts as delayed since the pause began."""
-        if self.transport is not None:
-            self.reading_paused = False
-            self.read_delay.unread_interval = UnreadInterval(monotonic_us(), self.paused_at_us)
-            self.transport.resume_reading()
-
     def reject_input(self, status: int) -> None:
         """Stops handling input and answers with this status.
 
@@ -264,15 +184,18 @@
             self.owner.mark_slow_reader(self)
         else:
             self.owner.mark_lingering(self)
-        if self.input_closed or self.receiving:
+        if self.input_closed or self.receiving or self.unparsed:
             self.input_closed = True
+            self.unparsed = b""
             self.transport.write_eof()
         else:
             self.input_closed = True
             self.transport.close()
 
     def has_unread_data(self) -> bool:
-        """Returns whether received data or an end of the stream is waiting to be read, and reading is possible."""
+        """Returns whether received data or an end of the stream is waiting to be handled, and handling is possible."""
+        if self.unparsed and not self.input_closed:
+            return True
         if self.transport is None or self.transport.is_closing() or self.input_closed or self.reading_paused:
             return False
         return not has_no_pending_events(self.descriptor)
--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -10,6 +10,7 @@
 from harecross.dispatch.dispatcher import RequestDispatcher
 from harecross.downstream.client_connection import ClientConnection
 from harecross.downstream.connection_state import RECEIVE_TIMEOUT_US, ConnectionState
+from harecross.downstream.input_scheduler import InputScheduler
 from harecross.downstream.listener import Listener
 from harecross.downstream.read_delay import Heartbeat
 from harecross.http.request_parser import RequestParser
@@ -108,6 +109,7 @@
         self.standby_since = 0
         self.listener: Listener | None = None
         self.heartbeat = Heartbeat()
+        self.input_scheduler = InputScheduler(self.loop)
 
     def listen(self, sock: socket.socket, backlog: int) -> None:
         """Opens the listener; connections stay in its backlog until `start_accepting` is called."""
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -13,6 +13,7 @@
 from harecross.dispatch.close_reasons import CloseReason
 from harecross.dispatch.dispatcher import RequestDispatcher
 from harecross.dispatch.request import DispatchedRequest
+from harecross.downstream.input_scheduler import InputScheduler
 from harecross.downstream.read_delay import Heartbeat, ReadDelay, TcpInfoSocket, UnreadInterval
 from harecross.http.body_buffer import Upload
 from harecross.http.request_parser import ParsedRequest, RequestParser
@@ -22,6 +23,9 @@
 RECEIVE_TIMEOUT_US = 2_500_000
 
 
+NEVER_US = -(1 << 62)
+
+
 class LocalResponse(NamedTuple):
     """A response that the node sends itself, without the dispatcher."""
 
@@ -39,6 +43,7 @@
     dispatcher: RequestDispatcher
     request_parser: RequestParser
     heartbeat: Heartbeat
+    input_scheduler: InputScheduler
     buffered_body_bytes: int
     max_buffered_body_bytes: int
     health_check_failing: bool
@@ -72,13 +77,19 @@
         """Stops the timeout for a slow reader."""
 
 
-class ConnectionState(asyncio.Protocol):
+class ConnectionState(asyncio.BufferedProtocol):
     """The attributes of one client connection.
 
     The connection handles one request at a time; pipelined requests are queued in `pending`.
 
     Attributes:
-        last_read_delay_us: How long the data read last may have waited in the kernel, in microseconds.
+        last_read_delay_us: How long the input that is parsed may have waited in the kernel and in this process.
+        read_at_us: When the last input was read.
+        read_delay_at_read_us: How long it may have waited in the kernel then, in microseconds.
+        unparsed: Input that was read and waits for its share of a turn.
+        turn_events: The number of messages and chunks that were begun in this turn.
+        flooded_at_us: When the connection last had more input than its share of a turn.
+        input_queued: Whether the connection is queued for its share of a turn.
         pending: Requests and local responses that are handled after the current request.
         busy: A request is being handled.
         keep_alive: Whether the client keeps the connection after the current request, or the last one.
@@ -107,6 +118,12 @@
         "parser",
         "read_delay",
         "last_read_delay_us",
+        "read_at_us",
+        "read_delay_at_read_us",
+        "unparsed",
+        "turn_events",
+        "flooded_at_us",
+        "input_queued",
         "request",
         "pending",
         "busy",
@@ -150,6 +167,12 @@
         self.parser: HttpRequestParser | None = None
         self.read_delay = ReadDelay(owner.heartbeat, unread_interval)
         self.last_read_delay_us = 0
+        self.read_at_us = 0
+        self.read_delay_at_read_us = 0
+        self.unparsed: bytes = b""
+        self.turn_events = 0
+        self.flooded_at_us = NEVER_US
+        self.input_queued = False
         self.request: DispatchedRequest | None = None
         self.pending: deque[ParsedRequest | LocalResponse] = deque()
         self.busy = False
@@ -196,15 +219,16 @@
         return [upload for upload in candidates if upload is not None]
 
     def held_message_bytes(self) -> int:
-        """Returns the bytes of heads and whole bodies that this connection holds."""
+        """Returns the bytes of unparsed input, heads and whole bodies that this connection holds."""
         bodies = len(self.body) + sum(
             len(item.body) for item in self.pending if isinstance(item, ParsedRequest)
         )
-        return bodies + self.head_size
+        return bodies + self.head_size + len(self.unparsed)
 
     def is_idle(self) -> bool:
-        """Returns whether no request is being received, pending or being handled, and no response is unread."""
-        return not (self.busy or self.pending or self.receiving or self.input_closed or self.write_blocked)
+        """Returns whether no request is being received, waiting or being handled, and no response is unread."""
+        waiting = self.busy or self.pending or self.unparsed or self.receiving
+        return not (waiting or self.input_closed or self.write_blocked)
 
     def abort(self, reason: CloseReason) -> None:
         """Closes the connection immediately and drops unsent data."""
--- /dev/null
+++ b/harecross/downstream/input_reader.py
@@ -0,0 +1,183 @@
+"""Reads one client connection in bounded parts, and parses them in bounded shares of a turn of the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import abstractmethod
+
+from httptools import HttpParserError
+
+from harecross.downstream.read_delay import UNKNOWN_AGE_US, UnreadInterval, last_data_age
+from harecross.downstream.request_receiver import RequestReceiver
+from harecross.http.request_parser import MAX_HEAD_BYTES, BadRequestError
+from harecross.platform.clock import monotonic_us
+
+# The largest part that is read at once, and so the most input of one connection that waits to be parsed.
+READ_BYTES = 1 << 14
+# Input is parsed in parts that begin with this size. They grow while a part holds few messages or chunks.
+FIRST_SLICE_BYTES = 1 << 10
+SPARSE_SLICE_EVENTS = 2
+SLICE_GROWTH = 4
+# The number of messages and chunks after which a connection has parsed its share of a turn.
+EVENTS_PER_TURN = 32
+# The number of bytes that are read and discarded after the input was closed. Reading is paused beyond it.
+MAX_DISCARDED_BYTES = 1 << 18
+
+# Every read is copied or parsed before the next one begins, so all connections share one buffer.
+READ_BUFFER = bytearray(READ_BYTES)
+READ_VIEW = memoryview(READ_BUFFER)
+
+
+class InputReader(RequestReceiver):
+    """The reading side of a client connection; implements `input_scheduler.InputSource`."""
+
+    __slots__ = ()
+
+    def get_buffer(self, sizehint: int) -> bytearray:  # noqa: ARG002
+        """Called by the event loop before it reads."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Called by the event loop when it has read: parses the input, or queues it if others have used up the turn."""
+        if self.parser is None or self.transport is None:
+            return
+        if self.input_closed:
+            self.discard(nbytes, self.transport)
+            return
+        scheduler = self.owner.input_scheduler
+        now = monotonic_us()
+        self.read_at_us = now
+        self.read_delay_at_read_us = self.read_delay.measure(now, self.sock)
+        if scheduler.may_parse(self, now):
+            self.parse(READ_VIEW[:nbytes], now)
+            scheduler.record(now)
+        else:
+            self.unparsed = bytes(READ_VIEW[:nbytes])
+            self.pause_reading()
+            scheduler.defer(self)
+
+    def parse_share(self) -> None:
+        """See `input_scheduler.InputSource`."""
+        if self.pending or self.parser is None or self.transport is None or self.input_closed:
+            return
+        unparsed, self.unparsed = self.unparsed, b""
+        self.parse(memoryview(unparsed), monotonic_us())
+
+    def parse(self, data: memoryview, now: int) -> None:
+        """Parses the connection's share of a turn, keeps the rest, and handles the requests that are complete."""
+        self.last_read_delay_us = self.read_delay_at_read_us + now - self.read_at_us
+        parsed = self.parse_slices(data)
+        if parsed < len(data) and not self.input_closed:
+            self.unparsed = bytes(data[parsed:])
+        self.handle_pending()
+        if self.transport is None or self.input_closed:
+            self.unparsed = b""
+            return
+        self.update_reading()
+
+    def parse_slices(self, data: memoryview) -> int:
+        """Parses slices until the share is used up; returns the number of bytes that were parsed."""
+        self.turn_events = 0
+        position, size = 0, FIRST_SLICE_BYTES
+        while position < len(data) and self.turn_events < EVENTS_PER_TURN:
+            if self.incoming_upload is not None and self.incoming_upload.full:
+                return position
+            events_before = self.turn_events
+            part = data[position : position + size]
+            position += len(part)
+            if not self.feed_parser(part):
+                return position
+            if self.turn_events - events_before <= SPARSE_SLICE_EVENTS:
+                size *= SLICE_GROWTH
+        if position < len(data):
+            self.owner.input_scheduler.exceeded(self)
+        return position
+
+    def feed_parser(self, part: memoryview) -> bool:
+        """Parses one slice; returns whether the input is still open."""
+        assert self.parser is not None
+        try:
+            self.parser.feed_data(part)
+        except HttpParserError as error:
+            # An exception raised in a callback is the context of the parser's exception.
+            inner = error.__context__
+            self.reject_input(inner.status if isinstance(inner, BadRequestError) else 400)
+        except BadRequestError as error:
+            self.reject_input(error.status)
+        else:
+            if self.receiving:
+                self.limit_unparsed_head(len(part))
+        return not self.input_closed
+
+    def limit_unparsed_head(self, size: int) -> None:
+        """Rejects a head of which the parser buffers too many bytes without calling back."""
+        self.last_data_us = monotonic_us()
+        starts = self.unparsed_head_bytes < 0 or self.head_complete
+        self.unparsed_head_bytes = 0 if starts else self.unparsed_head_bytes + size
+        if self.unparsed_head_bytes > MAX_HEAD_BYTES:
+            self.reject_input(431)
+
+    def discard(self, size: int, transport: asyncio.Transport) -> None:
+        """Discards data received after the input was closed; pauses reading beyond `MAX_DISCARDED_BYTES`."""
+        self.discarded_bytes += size
+        if self.discarded_bytes > MAX_DISCARDED_BYTES and not self.reading_paused:
+            self.reading_paused = True
+            transport.pause_reading()
+
+    def update_reading(self) -> None:
+        """Continues with the input, unless a request is pending or the buffer of an upload to a server is full."""
+        upload_full = self.incoming_upload is not None and self.incoming_upload.full
+        if upload_full:
+            self.waited_for_server = True
+            # No receive timeout runs for a client while nothing is read from it.
+            self.owner.unmark(self)
+        if upload_full or self.pending:
+            self.pause_reading()
+            self.limit_paused_upload()
+        elif self.unparsed:
+            self.pause_reading()
+            self.owner.input_scheduler.defer(self)
+        elif self.reading_paused:
+            self.resume_transport()
+
+    def pause_reading(self) -> None:
+        """Pauses reading."""
+        if not self.reading_paused and self.transport is not None:
+            self.reading_paused, self.paused_at_us = True, monotonic_us()
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Continues with the input after a pause: first with what was read before it."""
+        if self.unparsed:
+            self.owner.input_scheduler.defer(self)
+        else:
+            self.resume_transport()
+
+    def resume_transport(self) -> None:
+        """Resumes reading; data that arrived during the pause counts as delayed since the pause began."""
+        if self.transport is not None:
+            self.reading_paused = False
+            self.read_delay.unread_interval = UnreadInterval(monotonic_us(), self.paused_at_us)
+            self.transport.resume_reading()
+
+    def limit_paused_upload(self) -> None:
+        """Starts the timeout of the current request if its body is not being read."""
+        upload = self.incoming_upload
+        if (
+            self.reading_paused
+            and self.request is not None
+            and upload is not None
+            and upload is self.current_upload
+        ):
+            self.owner.dispatcher.body_paused(self.request, self.last_arrival_us)
+
+    def last_arrival_us(self) -> int:
+        """Returns when the last bytes arrived; when reading was paused if the kernel does not tell."""
+        age_us = last_data_age(self.sock)
+        if age_us == UNKNOWN_AGE_US:
+            return self.paused_at_us
+        return max(self.message_began_us, monotonic_us() - age_us)
+
+    @abstractmethod
+    def reject_input(self, status: int) -> None:
+        """Stops handling input and answers with this status."""
--- a/harecross/downstream/listener.py
+++ b/harecross/downstream/listener.py
@@ -42,7 +42,7 @@
     def __init__(
         self,
         sock: socket.socket,
-        protocol_factory: Callable[[UnreadInterval], asyncio.Protocol],
+        protocol_factory: Callable[[UnreadInterval], asyncio.BaseProtocol],
         on_ready: Callable[[], object],
         heartbeat: Heartbeat | None = None,
         on_setup_failed: Callable[[], None] = lambda: None,
--- a/harecross/downstream/request_receiver.py
+++ b/harecross/downstream/request_receiver.py
@@ -25,6 +25,7 @@
 
     def on_message_begin(self) -> None:
         """Called at the first byte of a request."""
+        self.turn_events += 1
         if self.input_closed:
             return
         self.reset_message()
@@ -94,6 +95,7 @@
 
     def on_chunk_header(self) -> None:
         """Limits the number of chunks of a body."""
+        self.turn_events += 1
         self.chunk_count += 1
         if has_too_many_chunks(self.chunk_count, self.body_size):
             raise BadRequestError(413)
--- a/harecross/downstream/response_sender.py
+++ b/harecross/downstream/response_sender.py
@@ -101,7 +101,7 @@
         A draining node answers pending requests first.
         """
         draining = self.draining or self.owner.draining
-        return not self.keep_alive or (draining and not self.pending)
+        return not self.keep_alive or (draining and not self.pending and not self.unparsed)
 
     def drain(self) -> None:
         """See `dispatch.request.ResponseWriter`."""
--- a/tests/test_streamed_uploads.py
+++ b/tests/test_streamed_uploads.py
@@ -10,7 +10,7 @@
 from streaming_support import LARGE_BODY, RESPONSE_FRAMINGS, Peer, chunked, run_with_peers
 from support import balancer, end_attempt, send_request
 
-from harecross.downstream import client_connection, connection_manager, request_receiver
+from harecross.downstream import connection_manager, input_reader, request_receiver
 from harecross.downstream.read_delay import UNKNOWN_AGE_US
 from harecross.interface import Outcome
 from harecross.node.resource_shares import request_body_bytes
@@ -187,7 +187,7 @@
 def test_a_body_for_a_server_that_hangs_is_answered_in_its_time(taken, form, kernel_tells, monkeypatch):
     # Guards against a request whose last byte the node does not read, so that no deadline begins.
     if not kernel_tells:
-        monkeypatch.setattr(client_connection, "last_data_age", lambda _: UNKNOWN_AGE_US)
+        monkeypatch.setattr(input_reader, "last_data_age", lambda _: UNKNOWN_AGE_US)
     body = bytes(20_000_000)
     timeout_s = 0.6
 
