A sound answer of unknown length that has begun is passed on at its deadline

Seen: GET with a wait of 2.5 s got 503 after 0.99 s while the server wrote an answer of 105 to 265 kB; unsafe requests got 502. Cause: an answer of unknown length counted as begun only after 16 KiB, and the timers of request and attempt and the per-try timeout ended it before. Change: from its head on such an answer is passed on when the deadline of attempt or request comes, and 1 s after it began at the latest (held back for 2 s it is lost); a per-try timeout does not cancel it. Late in a shutdown and in standby the rule on whole answers stays. Cost: an answer that begins and never ends is no longer retried; it ends with a reset after 6 s without a byte.

--- a/harecross/dispatch/dispatcher.py
+++ b/harecross/dispatch/dispatcher.py
@@ -178,6 +178,8 @@
                 (request.deadline_us - now) / 1e6, self.check_paused_body, request, last_arrival_us
             )
             return
+        if self.pass_on_begun_response(request):
+            return
         self.fail_request(request, FinalReason.DEADLINE)
         for attempt in list(request.in_flight):
             self.pool.abandon(attempt, Outcome.TIMEOUT)
@@ -213,13 +215,24 @@
         self.notify_client_disconnected(request)
 
     def deadline_passed(self, request: DispatchedRequest) -> None:
-        """Fails a request whose deadline has passed, independently of the balancer."""
+        """Fails a request whose deadline has passed, independently of the balancer.
+
+        A response of unknown length that has begun is passed on instead, and its request is not retried.
+        """
+        if self.pass_on_begun_response(request):
+            return
         for attempt in list(request.in_flight):
             self.pool.abandon(attempt, Outcome.TIMEOUT)
         if request.response_writer is not None:
             self.fail_request(request, FinalReason.DEADLINE)
             self.notify_client_disconnected(request)
 
+    @staticmethod
+    def pass_on_begun_response(request: DispatchedRequest) -> bool:
+        """Passes on a response of unknown length that has begun; returns whether there is one."""
+        carriers = [attempt.connection for attempt in request.in_flight]
+        return any(carrier is not None and carrier.pass_on_begun_response() for carrier in carriers)
+
     def notify_client_disconnected(self, request: DispatchedRequest) -> None:
         """Notifies the balancer that the client no longer waits for the request."""
         try:
@@ -401,12 +414,15 @@
             self.loop.call_soon(self.notify_upload_started, request)
 
     def cancel(self, request_number: int, attempt_number: int) -> None:
-        """Cancels an attempt; its outcome is reported after this call returns."""
+        """Cancels an attempt; its outcome is reported after this call returns.
+
+        An attempt whose client still waits is not cancelled once its response has begun, as it may be a large one.
+        """
         request = self.requests.get(request_number)
         if request is None:
             return
         for attempt in request.in_flight:
-            if attempt.number == attempt_number:
+            if attempt.number == attempt_number and not attempt.has_begun_response():
                 self.loop.call_soon(self.pool.abandon, attempt, Outcome.CANCELLED)
 
     def shed(self, request_number: int, retry_after: int) -> None:
--- a/harecross/dispatch/request.py
+++ b/harecross/dispatch/request.py
@@ -96,6 +96,10 @@
     number: int
     dispatcher: AttemptListener
 
+    def may_be_passed_on(self) -> bool:
+        """See `Exchange`."""
+        return self.request.response_writer is not None and not self.needs_whole_response()
+
     def needs_whole_response(self) -> bool:
         """See `Exchange`."""
         return self.dispatcher.needs_whole_response(self.request)
--- a/harecross/http/response_parser.py
+++ b/harecross/http/response_parser.py
@@ -190,6 +190,11 @@
         self.close()
         return ReadResult.COMPLETE
 
+    @property
+    def begun_without_length(self) -> bool:
+        """Whether a part of a good response was received that may become large: nothing tells its length."""
+        return self.head_done and self.status == 200 and self.length is None and not self.complete
+
     def expected_body_bytes(self) -> int:
         """Returns the size of the body, or without a Content-Length the number of body bytes received so far."""
         return self.body_size if self.length is None else self.length
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -59,6 +59,7 @@
     stream_buffer_bytes: int
     streaming: set[ServerConnection]
     malformed_responses: int
+    responses_passed_on_early: int
     response_variety: ResponseVariety
     on_connection_closed: Callable[[ClosedConnection], None]
 
@@ -74,6 +75,9 @@
     def start_deadline_timer(self, exchange: Exchange) -> None:
         """Schedules the abandonment of the exchange at its deadline."""
 
+    def start_hold_timer(self, connection: ServerConnection) -> asyncio.TimerHandle:
+        """Schedules that a response that has begun is passed on, if it is not complete by then."""
+
     def release(self, connection: ServerConnection) -> None:
         """Returns a connection to the pool for another exchange."""
 
@@ -106,12 +110,14 @@
         receive_buffer_bytes: Last requested SO_RCVBUF value; 0 for the kernel's default.
         descriptor: File descriptor of the socket; -1 before the connection is open.
         closed_record: Why this side closed the connection; None if it has not.
+        hold_timer: Timer that passes on a response of unknown length that has begun; None without one.
     """
 
     __slots__ = (
         "closed_record",
         "descriptor",
         "exchange",
+        "hold_timer",
         "idle_since_us",
         "parser",
         "pool",
@@ -150,6 +156,7 @@
         self.written_us = 0
         self.response_us = 0
         self.closed_record: ClosedConnection | None = None
+        self.hold_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See `asyncio.Protocol`."""
@@ -270,6 +277,8 @@
             # The server ran the request, but neither the response nor the bytes after it can be used.
             self.pool.malformed_responses += 1
             self.fail_exchange(CloseReason.MALFORMED_RESPONSE)
+        elif self.hold_timer is None and not parser.streaming and self.has_begun_response():
+            self.hold_timer = self.pool.start_hold_timer(self)
 
     def forward_body(self, parser: ResponseParser) -> bool:
         """Forwards the received part of a streamed response; returns whether the exchange is still in progress."""
@@ -301,6 +310,25 @@
         self.set_receive_buffer(self.pool.stream_buffer_bytes)
         return True
 
+    def has_begun_response(self) -> bool:
+        """Returns whether a response of unknown length has begun that may still be passed on."""
+        if self.exchange is None or self.parser is None or self.exchange.response_streamed:
+            return False
+        return self.parser.begun_without_length and self.exchange.may_be_passed_on()
+
+    def pass_on_begun_response(self) -> bool:
+        """Passes on a response of unknown length that has begun; returns whether there is one.
+
+        It may be larger than what is timed as a whole, and its server may be writing it as it can.
+        """
+        if not self.has_begun_response():
+            return False
+        assert self.parser is not None
+        self.pool.responses_passed_on_early += 1
+        self.parser.start_streaming()
+        self.forward_body(self.parser)
+        return True
+
     def set_receive_buffer(self, size: int) -> None:
         """Sets the size of the kernel's receive buffer (SO_RCVBUF)."""
         if self.transport is not None and size != self.receive_buffer_bytes:
@@ -413,6 +441,9 @@
         """Stops the upload and the streaming of the exchange on this connection."""
         self.upload_unfinished = False
         self.pool.streaming.discard(self)
+        if self.hold_timer is not None:
+            self.hold_timer.cancel()
+            self.hold_timer = None
         if exchange.upload is not None:
             exchange.upload.detach()
         if self.read_paused:
--- a/harecross/upstream/connection_pool.py
+++ b/harecross/upstream/connection_pool.py
@@ -28,6 +28,8 @@
 DEFAULT_STREAMING_BUDGET_BYTES = 1 << 25  # shared by all streamed responses
 # The initial receive buffer of a connection assumes that one in this many descriptors carries a streamed response.
 STREAM_START_DIVISOR = 4
+# A response of unknown length that has begun is passed on after this time. Held back for 2 s, a large one is lost.
+MAX_HOLD_S = 1.0
 STALL_TIMEOUT_US = 6_000_000  # how long a server may neither read nor send a streamed body
 
 
@@ -41,6 +43,7 @@
         on_descriptor_shortage: Closes a client connection to free a descriptor; returns whether it closed one.
         load_reports: Number of valid load reports received.
         malformed_responses: Number of malformed responses received.
+        responses_passed_on_early: Number of responses of unknown length that were passed on at a deadline.
         response_variety: Whether different requests may get equal responses.
         processes: The current process of each server, by server number.
         earlier_processes: Earlier processes of each server that had connections when they were replaced.
@@ -72,6 +75,7 @@
         self.on_descriptor_shortage: Callable[[], bool] = lambda: False
         self.load_reports = 0
         self.malformed_responses = 0
+        self.responses_passed_on_early = 0
         self.response_variety = ResponseVariety()
         self.processes: dict[int, ServerProcess] = {}
         self.earlier_processes: dict[int, list[ServerProcess]] = {}
@@ -316,8 +320,14 @@
         exchange.connection = None
         exchange.on_ended(exchange, outcome, body, report)
 
+    def start_hold_timer(self, connection: ServerConnection) -> asyncio.TimerHandle:
+        """Schedules that a response that has begun is passed on, if it is not complete by then."""
+        return self.loop.call_later(MAX_HOLD_S, connection.pass_on_begun_response)
+
     def deadline_passed(self, exchange: Exchange) -> None:
-        """Abandons an exchange whose deadline has passed."""
+        """Abandons an exchange whose deadline has passed, or passes on its response if it has begun."""
+        if exchange.connection is not None and exchange.connection.pass_on_begun_response():
+            return
         self.abandon(exchange, Outcome.TIMEOUT)
 
     def abandon(self, exchange: Exchange, outcome: Outcome) -> None:
--- a/harecross/upstream/exchange.py
+++ b/harecross/upstream/exchange.py
@@ -36,6 +36,12 @@
     def set_read_paused(self, paused: bool) -> None:
         """Pauses or resumes reading the response."""
 
+    def has_begun_response(self) -> bool:
+        """Returns whether a response of unknown length has begun that may still be passed on."""
+
+    def pass_on_begun_response(self) -> bool:
+        """Passes on a response of unknown length that has begun; returns whether there is one."""
+
     def unsent_bytes(self) -> int:
         """Returns the number of bytes that the kernel has not accepted yet."""
 
@@ -105,6 +111,14 @@
         self.response_streamed = False
         self.start_by_us = NO_DEADLINE_US
 
+    def may_be_passed_on(self) -> bool:
+        """Returns whether the first bytes of a response may be passed on before the rest has come."""
+        return False
+
+    def has_begun_response(self) -> bool:
+        """Returns whether a response has begun whose rest may follow after every deadline."""
+        return self.connection is not None and self.connection.has_begun_response()
+
     def needs_whole_response(self) -> bool:
         """Returns whether the response must be complete before any of it is passed on."""
         return False
