No attempt begins for a client whose close may be hidden behind unread bytes

A slowly read upload is finished and run after its client has closed. Cause: reading is paused, the receive buffer is full at some 90 to 115 KB, and the close stays behind what the peer could not send; poll(2) reports none. Change: when the receive memory is half full (SO_MEMINFO) a close may be hidden; the client then counts as connected for 80 ms after it was last known to be: at a read that had not waited, or when it acknowledged a response (a closed one resets). Else nothing is sent: the request is refused, what is queued with it. The end of a body that waited is not sent once the close is seen. What Linux cannot tell: a peer that has left from one that waits while its window is shut. Cost: an upload with more unread than that is refused if its server is not reached in 80 ms.

--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -3,18 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import cast
 
 from httptools import HttpRequestParser
 
 from harecross.dispatch.close_reasons import ClosedConnection, CloseReason
-from harecross.downstream.connection_state import LocalResponse
+from harecross.downstream.connection_state import LocalResponse, Presence
 from harecross.downstream.input_reader import InputReader
 from harecross.downstream.response_sender import ResponseSender
 from harecross.http.body_buffer import Upload
 from harecross.http.request_parser import ParsedRequest
+from harecross.platform.clock import monotonic_us
 from harecross.platform.log import log_exception
-from harecross.platform.peer_state import has_no_pending_events, peer_has_closed
+from harecross.platform.peer_state import (
+    close_may_be_hidden,
+    has_no_pending_events,
+    peer_has_closed,
+    unacknowledged_bytes,
+)
+
+# A client that was connected this long ago counts as connected. An attempt may begin up to 0.1 s after its client left.
+KNOWN_CONNECTED_US = 80_000
+PRESENCE_POLL_S = 0.005
 
 
 class ClientConnection(InputReader, ResponseSender):
@@ -101,15 +112,43 @@
     def handle_pending(self) -> None:
         """Handles pending requests in order."""
         while self.pending and not self.busy and not self.write_blocked and self.transport is not None:
-            item = self.pending.popleft()
-            if isinstance(item, LocalResponse):
+            item = self.pending[0]
+            if isinstance(item, ParsedRequest):
+                presence = self.check_presence()
+                if presence is Presence.UNKNOWN:
+                    self.await_presence()
+                    return
+                if presence is Presence.CLOSED:
+                    self.pending.clear()
+                    return
+                self.pending.popleft()
+                self.dispatch(item)
+            else:
+                self.pending.popleft()
                 self.keep_alive = item.keep_alive
                 self.send_response(item.status, b"")
-                continue
-            if not self.is_connected():
-                self.pending.clear()
-                return
-            self.dispatch(item)
+
+    def await_presence(self) -> None:
+        """Waits for the client to acknowledge the last response, by which it was connected; else refuses the rest."""
+        if monotonic_us() - self.responded_at_us <= KNOWN_CONNECTED_US:
+            self.owner.loop.call_later(PRESENCE_POLL_S, self.handle_pending)
+        else:
+            self.refuse_pending()
+
+    def refuse_pending(self) -> None:
+        """Refuses the requests that wait, with everything that the client has sent behind them.
+
+        The client may have left. No request of it is sent then, and none of these has been.
+        """
+        self.input_closed, self.receiving, self.unparsed = True, False, b""
+        self.owner.unmark(self)
+        upload, self.incoming_upload = self.incoming_upload, None
+        if upload is not None:
+            upload.discard()
+        statuses = [item.status if isinstance(item, LocalResponse) else 503 for item in self.pending]
+        self.pending = deque(LocalResponse(status, keep_alive=True) for status in statuses[:-1])
+        self.pending.append(LocalResponse(statuses[-1]))
+        self.resume_transport()
 
     def dispatch(self, message: ParsedRequest) -> None:
         """Passes a request to the dispatcher, which may answer it during this call."""
@@ -143,17 +182,39 @@
         self.send_response(409, b"")
 
     def is_connected(self) -> bool:
-        """Returns whether the client is still connected.
+        """Returns whether the client is still connected; False if that is unknown.
 
         Asks the kernel, because reading is paused while a request is pending, so the event loop reports no disconnect.
         """
-        if self.transport is None or self.transport.is_closing():
-            return False
-        if not peer_has_closed(self.descriptor):
-            return True
-        # The caller may be the balancing policy, which is not reentrant: close in a later turn of the event loop.
-        self.owner.loop.call_soon(self.close_abandoned)
-        return False
+        return self.check_presence() is Presence.CONNECTED
+
+    def check_presence(self) -> Presence:
+        """Returns whether the client is still there; closes the connection if it has left."""
+        presence = self.presence()
+        if presence is Presence.CLOSED:
+            # The caller may be the balancing policy, which is not reentrant: close in a later turn of the event loop.
+            self.owner.loop.call_soon(self.close_abandoned)
+        elif presence is Presence.UNKNOWN:
+            self.owner.unseen_departures += 1
+        return presence
+
+    def presence(self) -> Presence:
+        """Returns whether the client is still there.
+
+        If its close may be hidden behind unread bytes, the client counts as connected for a short time after it was
+        last known to be. It was when it acknowledged a response: the kernel of one that has closed resets instead.
+        """
+        if self.transport is None or self.transport.is_closing() or peer_has_closed(self.descriptor):
+            return Presence.CLOSED
+        if not self.reading_paused or self.sock is None:
+            return Presence.CONNECTED
+        now = monotonic_us()
+        if not close_may_be_hidden(self.sock, self.descriptor):
+            self.connected_at_us = now
+        elif self.transport.get_write_buffer_size() == 0 and unacknowledged_bytes(self.descriptor) == 0:
+            self.connected_at_us = max(self.connected_at_us, self.responded_at_us)
+        known = now - self.connected_at_us <= KNOWN_CONNECTED_US
+        return Presence.CONNECTED if known else Presence.UNKNOWN
 
     def close_abandoned(self) -> None:
         """Closes the connection of a client that has disconnected; `connection_lost` notifies the dispatcher."""
--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -77,6 +77,7 @@
         lingering: Connections that have had their last response.
         slow_readers: Connections whose clients read a streamed response more slowly than it arrives.
         bad_requests: The number of client errors by status; 0 stands for connections closed because they sent nothing.
+        unseen_departures: How often it was unknown whether a client is still connected, and its request was not sent.
         draining: Connections are closed after their responses.
     """
 
@@ -103,6 +104,7 @@
         self.slow_readers: dict[ConnectionState, int] = {}
         self.bad_requests: dict[int, int] = {}
         self.refused_connections = 0
+        self.unseen_departures = 0
         self.health_check_failing = False
         self.draining = False
         self.in_standby = False
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -6,6 +6,7 @@
 from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import NamedTuple, Protocol
 
 from httptools import HttpRequestParser
@@ -27,6 +28,14 @@
 NEVER_US = -(1 << 62)
 
 
+class Presence(Enum):
+    """Whether the client of a connection is still there, as far as the kernel tells."""
+
+    CONNECTED = "connected"
+    CLOSED = "closed"
+    UNKNOWN = "unknown"
+
+
 class LocalResponse(NamedTuple):
     """A response that the node sends itself, without the dispatcher."""
 
@@ -47,6 +56,7 @@
     input_scheduler: InputScheduler
     buffered_body_bytes: int
     max_buffered_body_bytes: int
+    unseen_departures: int
     health_check_failing: bool
     draining: bool
 
@@ -90,6 +100,9 @@
         unparsed: Input that was read and waits for its share of a turn.
         turn_events: The number of messages and chunks that were begun in this turn.
         flooded_at_us: When the connection last had more input than its share of a turn.
+        input_stale: The input may have waited in the kernel since before it was read, because reading was paused.
+        connected_at_us: When the client was last known to be connected.
+        responded_at_us: When the last response was written.
         input_queued: Whether the connection is queued for its share of a turn.
         pending: Requests and local responses that are handled after the current request.
         busy: A request is being handled.
@@ -125,6 +138,9 @@
         "unparsed",
         "turn_events",
         "flooded_at_us",
+        "input_stale",
+        "connected_at_us",
+        "responded_at_us",
         "input_queued",
         "request",
         "pending",
@@ -175,6 +191,9 @@
         self.unparsed: bytes = b""
         self.turn_events = 0
         self.flooded_at_us = NEVER_US
+        self.input_stale = False
+        self.connected_at_us = NEVER_US
+        self.responded_at_us = NEVER_US
         self.input_queued = False
         self.request: DispatchedRequest | None = None
         self.pending: deque[ParsedRequest | LocalResponse] = deque()
@@ -246,6 +265,10 @@
             self.expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    @abstractmethod
+    def check_presence(self) -> Presence:
+        """Returns whether the client is still there; closes the connection if it has left."""
+
     @abstractmethod
     def handle_pending(self) -> None:
         """Handles pending requests in order."""
--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -52,6 +52,10 @@
         self.read_delay_at_read_us = self.read_delay.measure(now, self.sock)
         if self.body_arrival is not None:
             self.body_arrival.read(now)
+        if not self.input_stale:
+            self.connected_at_us = now
+        elif nbytes < READ_BYTES:
+            self.input_stale = False
         if scheduler.may_parse(self, now):
             self.parse(READ_VIEW[:nbytes], now)
             scheduler.record(now)
@@ -149,6 +153,7 @@
         """Pauses reading."""
         if not self.reading_paused and self.transport is not None:
             self.reading_paused, self.paused_at_us = True, monotonic_us()
+            self.input_stale = True
             self.transport.pause_reading()
 
     def resume_reading(self) -> None:
--- a/harecross/downstream/request_receiver.py
+++ b/harecross/downstream/request_receiver.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from harecross.downstream.connection_state import RECEIVE_TIMEOUT_US, ConnectionState, LocalResponse
+from harecross.downstream.connection_state import (
+    RECEIVE_TIMEOUT_US,
+    ConnectionState,
+    LocalResponse,
+    Presence,
+)
 from harecross.http.body_buffer import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Upload, has_too_many_chunks
 from harecross.http.request_parser import MAX_HEAD_BYTES, MAX_HEADERS, BadRequestError, ParsedRequest
 from harecross.platform.clock import monotonic_us
@@ -111,6 +116,8 @@
             data, self.body = self.body + data, b""
             self.buffer_bytes(-self.buffered_bytes)
         if self.incoming_upload is not None:
+            if self.body_size == self.incoming_upload.length and self.left_meanwhile():
+                return
             self.incoming_upload.feed(data)
             if not self.incoming_upload.discarded:
                 self.buffer_bytes(len(self.incoming_upload.buffered) - self.buffered_bytes)
@@ -162,6 +169,8 @@
 
     def upload_complete(self, upload: Upload) -> None:
         """Finishes the upload of a large body that has been received completely."""
+        if self.left_meanwhile():
+            return
         self.incoming_upload = None
         upload.finish()
         if self.current_upload is upload and self.request is not None:
@@ -170,6 +179,10 @@
             # The request was answered before its body was complete.
             self.owner.mark_idle(self)
 
+    def left_meanwhile(self) -> bool:
+        """Returns whether the client has left while its body waited for a server, so that its end is not sent."""
+        return self.waited_for_server and self.check_presence() is Presence.CLOSED
+
     def body_delay_us(self, upload: Upload) -> int:
         """Returns for how long the last byte of a body may have waited before it was read."""
         if self.body_arrival is None:
--- a/harecross/downstream/response_sender.py
+++ b/harecross/downstream/response_sender.py
@@ -10,6 +10,7 @@
 from harecross.dispatch.close_reasons import CloseReason
 from harecross.downstream.connection_state import ConnectionState
 from harecross.http.body_buffer import MAX_BUFFERED_BODY_BYTES, MAX_HELD_RESPONSE_BYTES
+from harecross.platform.clock import monotonic_us
 
 # The size of the kernel's send buffer for a streamed response. The kernel doubles the value.
 LARGE_RESPONSE_BUFFER_BYTES = 1 << 16
@@ -129,6 +130,7 @@
 
     def response_sent(self, *, closes: bool) -> None:
         """Continues with the connection after a response was written, or closes it."""
+        self.responded_at_us = monotonic_us()
         was_busy, self.busy = self.busy, False
         self.request = self.current_upload = None
         if not self.keep_alive:
--- a/harecross/node/sweeper.py
+++ b/harecross/node/sweeper.py
@@ -61,6 +61,7 @@
         fields = {**self.parts.membership.report_fields(), **memory_fields(self.parts)}
         fields["lag_ms"] = round(self.event_loop_lag_s * 1000)
         fields["passed_on_early"] = self.parts.pool.responses_passed_on_early
+        fields["left_unseen"] = connections.unseen_departures
         fields["input_deferred"] = connections.input_scheduler.deferred
         fields["input_over_share"] = connections.input_scheduler.floods
         self.parts.dispatcher.report(connections.bad_requests, connections.refused_connections, fields)
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -20,6 +20,7 @@
     wait_until,
 )
 from race_support import DelayedConnects
+from streaming_support import chunked, run_with_peers
 
 from harecross.node.config import config_from
 from harecross.node.node import Node
@@ -132,6 +133,39 @@
     run_with_node(test, servers=3)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_the_last_bytes_of_an_upload_are_not_sent_for_a_client_that_has_left(framing):
+    """Guards against a server that runs a slowly read request long after its client has closed."""
+    body = bytes(12_000_000)
+    received: list[bytes] = []
+    ended: list[bool] = []
+
+    async def slow_server(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+        while data := await reader.read(100_000):
+            received.append(data)
+            await asyncio.sleep(0.02)
+        ended.append(True)
+        writer.close()
+
+    async def test(env: NodeEnvironment) -> None:
+        client = LeavingClient(env.node.address)
+        head = UPLOAD.replace(b"30000000", b"%d" % len(body))
+        if framing == "length":
+            data = head + body
+        else:
+            head = head.replace(b"Content-Length: %d" % len(body), b"Transfer-Encoding: chunked")
+            data = head + chunked(body, 50_000)
+        await asyncio.get_running_loop().sock_sendall(client.sock, data)
+        client.sock.close()
+        await wait_until(lambda: ended)
+        text = b"".join(received)
+        assert not text.endswith(b"0\r\n\r\n")
+        assert text.count(b"\0") < len(body)
+
+    run_with_peers(test, slow_server)
+
+
 REPEATED = [("/pay/1", ""), ("/put/1", "k")]
 
 
