An ID that may have run is remembered beyond its request, and by all processes of a node

Cause: an ID was known only while its request was open, and only to the process that had it. Each process writes its slots through to a file in TMPDIR that the others read. A repeat gets 409, unless it comes on the connection on which the first was answered.

--- a/harecross/dispatch/dispatcher.py
+++ b/harecross/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 
 from harecross.discovery.readiness import ListReadiness
 from harecross.dispatch.deadlines import ResponseDeadlines, attempt_deadline_us
+from harecross.dispatch.remembered_ids import RememberedIds
 from harecross.dispatch.request import DispatchedRequest, FinalAnswer, ResponseWriter, UpstreamAttempt
 from harecross.dispatch.request_table import RequestTable
 from harecross.dispatch.statistics import ClientCounts, UpstreamCounts
@@ -28,6 +29,7 @@
 from harecross.upstream.connection_pool import ConnectionPool
 from harecross.upstream.exchange import NO_DEADLINE_US, Exchange
 
+DEFAULT_ID_TABLE_BYTES = 1 << 18
 NO_LIST_RETRY_AFTER_US = 250_000  # Retry-After while the node has no usable endpoint list
 
 
@@ -51,8 +53,17 @@
         readiness: Decides whether the endpoint list may be used; None if it may be used from the start.
     """
 
-    def __init__(self, settings: Settings, seed: int, pool: ConnectionPool) -> None:
-        super().__init__(retry_after_allowed=settings.retry_after)
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        pool: ConnectionPool,
+        id_table_bytes: int = DEFAULT_ID_TABLE_BYTES,
+    ) -> None:
+        """`id_table_bytes` is the memory for the IDs of requests that may have run."""
+        longest_us = max(max(each.deduplication_window, each.deadline) for each in settings.classes)
+        remembered_ids = RememberedIds(id_table_bytes, longest_us)
+        super().__init__(remembered_ids, retry_after_allowed=settings.retry_after)
         self.loop = asyncio.get_running_loop()
         self.settings = settings
         self.pool = pool
@@ -113,6 +124,9 @@
             self.tracer.request_admitted(request, now)
         if self.shed_before_balancer(request, now):
             return request
+        request.must_not_repeat = self.must_not_repeat(parsed)
+        if request.must_not_repeat:
+            self.remembered_ids.request_opened(parsed.request_id, now)
         self.requests[request.id] = request
         self.open_request_ids.add(parsed.request_id)
         time_left = deadline_us - now
@@ -128,6 +142,18 @@
         request.being_admitted = False
         return request
 
+    def must_not_repeat(self, parsed: ParsedRequest) -> bool:
+        """Returns whether a request must not run again if a server may have run it."""
+        classes = self.settings.classes
+        unknown = parsed.request_class >= len(classes)
+        return unknown or classes[parsed.request_class].idempotency != Idempotency.IDEMPOTENT
+
+    def may_have_run(self, parsed: ParsedRequest) -> bool:
+        """Returns whether a request must not run because one with its ID may have run, or is open elsewhere."""
+        return self.must_not_repeat(parsed) and self.remembered_ids.may_have_run(
+            parsed.request_id, monotonic_us()
+        )
+
     def shed_before_balancer(self, request: DispatchedRequest, now: int) -> bool:
         """Sheds a request for reasons that do not involve the balancer; returns whether it was shed."""
         retry_after = 0
--- a/harecross/dispatch/request.py
+++ b/harecross/dispatch/request.py
@@ -142,6 +142,7 @@
         attempt_count: Number of attempts started.
         in_flight: Attempts without an outcome.
         deadline_timer: Timer for `deadline_us`; None while the body is being read and after the final answer.
+        must_not_repeat: Whether the request must not run again if a server may have run it.
         first_run_us: Start time of the first attempt to end that a server may have run; None if there is none.
         being_admitted: Whether the request is being admitted, so that its client is known to be connected.
         last_outcome: Outcome of the attempt that ended last, which is the cause of the next attempt.
@@ -156,6 +157,7 @@
         "id",
         "in_flight",
         "last_outcome",
+        "must_not_repeat",
         "parsed",
         "received_us",
         "response_writer",
@@ -173,6 +175,7 @@
         self.attempt_count = 0
         self.in_flight: list[UpstreamAttempt] = []
         self.deadline_timer: asyncio.TimerHandle | None = None
+        self.must_not_repeat = False
         self.first_run_us: int | None = None
         self.being_admitted = True
         self.last_outcome: Outcome | None = None
--- a/harecross/dispatch/request_table.py
+++ b/harecross/dispatch/request_table.py
@@ -5,10 +5,12 @@
 from collections import Counter
 
 from harecross.dispatch.close_reasons import ClosedConnection
+from harecross.dispatch.remembered_ids import RememberedIds
 from harecross.dispatch.request import DispatchedRequest, FinalAnswer, ResponseWriter
 from harecross.dispatch.statistics import DispatchStatistics
 from harecross.dispatch.tracer import RequestTracer
 from harecross.interface import FinalReason
+from harecross.platform.clock import monotonic_us
 
 
 class RequestTable:
@@ -17,10 +19,12 @@
     Attributes:
         requests: The open requests by number.
         open_request_ids: X-Request-ID of each open request.
+        remembered_ids: X-Request-ID of each request that must not run twice, and may have run.
         tracer: Receives events of requests and connections; None if they are not traced.
     """
 
-    def __init__(self, *, retry_after_allowed: bool) -> None:
+    def __init__(self, remembered_ids: RememberedIds, *, retry_after_allowed: bool) -> None:
+        self.remembered_ids = remembered_ids
         self.retry_after_allowed = retry_after_allowed
         self.requests: dict[int, DispatchedRequest] = {}
         self.open_request_ids: set[bytes] = set()
@@ -55,6 +59,11 @@
             and self.requests.pop(request.id, None) is not None
         ):
             self.open_request_ids.discard(request.parsed.request_id)
+            if request.must_not_repeat:
+                may_have_run = request.first_run_us is not None
+                self.remembered_ids.request_ended(
+                    request.parsed.request_id, monotonic_us(), may_have_run=may_have_run
+                )
 
     def send_final_answer(
         self,
--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -157,8 +157,10 @@
         self.current_upload = message.upload
         self.response_chunked = message.accepts_chunked
         dispatcher = self.owner.dispatcher
-        if dispatcher.is_open(message.request_id):
-            # Servers would treat it as a duplicate of the request in flight.
+        # A client that sends an ID again on the connection on which it was answered has the answer.
+        answered_here, self.last_request_id = self.last_request_id == message.request_id, message.request_id
+        if dispatcher.is_open(message.request_id) or (not answered_here and dispatcher.may_have_run(message)):
+            # Servers would treat it as a duplicate of the earlier request, or run it again.
             self.reject_conflict()
             return
         try:
@@ -176,7 +178,7 @@
                 self.limit_paused_upload()
 
     def reject_conflict(self) -> None:
-        """Rejects a request that has the same id as a request in flight."""
+        """Rejects a request that has the same ID as one that is open or may have run."""
         self.keep_alive = False
         self.owner.count_bad_request(409)
         self.send_response(409, b"")
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -120,6 +120,7 @@
         expects_continue: The client waits for `100 Continue` before it sends the body.
         incoming_upload: The large body that is being received.
         current_upload: The large body of the request that is being handled.
+        last_request_id: The ID of the request that was handled last.
         set_response_paused: Pauses or resumes the server's side of a streamed response; None without one.
         response_closes: The connection is closed after the current response, whose head says so.
         draining: The connection is closed once the requests that were received on it are answered.
@@ -172,6 +173,7 @@
         "incoming_upload",
         # State of the request that is being handled, and of its response:
         "current_upload",
+        "last_request_id",
         "set_response_paused",
         "response_chunked",
         "response_closes",
@@ -209,6 +211,7 @@
         self.draining = False
         self.incoming_upload: Upload | None = None
         self.current_upload: Upload | None = None
+        self.last_request_id = b""
         self.set_response_paused: Callable[[bool], None] | None = None
         self.response_chunked = False
         self.response_closes = False
--- a/harecross/node/composition.py
+++ b/harecross/node/composition.py
@@ -20,6 +20,7 @@
 from harecross.node.membership import Membership
 from harecross.node.options import AdditionalSources, NodeOptions
 from harecross.node.resource_shares import ResourceShares, request_body_bytes
+from harecross.node.shared_ids import SharedIds
 from harecross.platform.descriptor_budget import DescriptorBudget
 from harecross.upstream.connection_pool import ConnectionPool
 
@@ -29,6 +30,7 @@
 ADDITIONAL_SOURCES_DESCRIPTORS = 24  # for DNS servers, address files and the cache file
 MIN_CONNECTION_DESCRIPTORS = 16
 ASSUMED_OPEN_DESCRIPTORS = 16  # the number of open descriptors that is assumed if /proc cannot be read
+ID_MEMORY_DIVISOR = 256  # the table of remembered IDs has the memory limit divided by this
 BODY_MEMORY_DIVISOR = 4  # buffered bodies may use the memory limit divided by this
 
 
@@ -38,6 +40,7 @@
 
     Attributes:
         admin_operations: The operators' calls; None if no admin address is configured.
+        shared_ids: The IDs that the node's processes share; None if no admin address is configured.
     """
 
     descriptor_budget: DescriptorBudget
@@ -48,6 +51,7 @@
     client_connections: ConnectionManager
     resource_shares: ResourceShares
     admin_operations: AdminOperations | None
+    shared_ids: SharedIds | None
 
     def other_processes(self) -> int:
         """Returns how many other processes serve as this node."""
@@ -73,16 +77,20 @@
     """Builds a node's parts. Raises ConfigError if the configuration cannot be used."""
     budget = DescriptorBudget(connection_descriptors(config, options))
     pool = ConnectionPool(config.connect_timeout, config.idle_time, config.columns, budget)
-    dispatcher = RequestDispatcher(config.settings, config.seed, pool)
+    id_table_bytes = config.memory // ID_MEMORY_DIVISOR
+    dispatcher = RequestDispatcher(config.settings, config.seed, pool, id_table_bytes)
     registry = EndpointRegistry(dispatcher, pool, config.zones, config.kinds)
     if options.attempt_log:
         open_attempt_log(config.name, options.attempt_log, dispatcher, registry)
     membership = build_membership(config, options, dispatcher, registry)
     client_connections, shares = build_client_connections(config, options, dispatcher, pool, budget)
-    operations = None
+    operations, shared_ids = None, None
     if config.admin is not None:
         operations = build_admin_operations(config, options, registry, client_connections, membership)
-    return NodeParts(budget, pool, dispatcher, registry, membership, client_connections, shares, operations)
+        shared_ids = SharedIds(operations.store, dispatcher.remembered_ids)
+    return NodeParts(
+        budget, pool, dispatcher, registry, membership, client_connections, shares, operations, shared_ids
+    )
 
 
 def connection_descriptors(config: Config, options: NodeOptions) -> int:
--- a/harecross/node/handover_store.py
+++ b/harecross/node/handover_store.py
@@ -53,9 +53,10 @@
         self.process_lock_prefix = f"{stem}.life-"
         self.maintenance_path = Path(folder) / f"{stem}.held" if folder else None
         self.learned_state_path = Path(folder) / f"{stem}.learned" if folder else None
-        self.process_lock_path = (
-            Path(folder) / f"{self.process_lock_prefix}{secrets.token_hex(6)}" if folder else None
-        )
+        self.ids_prefix = f"{stem}.ids-"
+        token = secrets.token_hex(6)
+        self.process_lock_path = Path(folder) / f"{self.process_lock_prefix}{token}" if folder else None
+        self.ids_path = Path(folder) / f"{self.ids_prefix}{token}" if folder else None
         self.list_path = Path(folder) / f"{stem}.list" if folder else None
         # Not the lock of the maintenance file, which is held while that is written to the disk.
         self.leaving_lock_path = Path(folder) / f"{stem}.leaving" if folder else None
@@ -195,12 +196,20 @@
 
     def other_phases(self) -> list[ProcessPhase]:
         """Returns the phases of the other live processes of this node."""
+        return [read_phase(path) for path in self.other_lock_paths()]
+
+    def other_lock_paths(self) -> list[Path]:
+        """Returns the lock files of the other live processes of this node."""
         own = self.process_lock_path
         if own is None:
             return []
         names = [name for name in os.listdir(own.parent) if name.startswith(self.process_lock_prefix)]
         others = [own.with_name(name) for name in names if name != own.name]
-        return [read_phase(path) for path in others if is_locked(path)]
+        return [path for path in others if is_locked(path)]
+
+    def live_tokens(self) -> set[str]:
+        """Returns the tokens of the other live processes, which end the names of their files."""
+        return {path.name.removeprefix(self.process_lock_prefix) for path in self.other_lock_paths()}
 
 
 def write_for_running_process(path: Path, suffix: str, data: bytes) -> None:
--- a/harecross/node/node.py
+++ b/harecross/node/node.py
@@ -94,6 +94,8 @@
                 f"{operations.store.process_lock_path}: maintenance changes will not outlive this process: "
                 f"{error.strerror}"
             )
+        if self.parts.shared_ids is not None:
+            self.parts.shared_ids.open()
         operations.store.refresh()
         operations.apply_maintenance()
         self.parts.divide_resources()
--- a/harecross/node/sweeper.py
+++ b/harecross/node/sweeper.py
@@ -43,6 +43,8 @@
         if parts.admin_operations is not None:
             parts.divide_resources()
             parts.admin_operations.save_learned_state()
+        if parts.shared_ids is not None:
+            parts.shared_ids.refresh()
         if parts.membership.additional_list_is_current():
             parts.membership.list_received()
         parts.pool.sweep()
@@ -62,6 +64,8 @@
         fields["lag_ms"] = round(self.event_loop_lag_s * 1000)
         fields["passed_on_early"] = self.parts.pool.responses_passed_on_early
         fields["left_unseen"] = connections.unseen_departures
+        remembered_ids = self.parts.dispatcher.remembered_ids
+        fields["ids_rejected"], fields["ids_evicted"] = remembered_ids.matched, remembered_ids.evicted
         fields["input_deferred"] = connections.input_scheduler.deferred
         fields["input_over_share"] = connections.input_scheduler.floods
         self.parts.dispatcher.report(connections.bad_requests, connections.refused_connections, fields)
