--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -12,12 +12,12 @@
 from harecross.downstream.request_receiver import RequestReceiver
 from harecross.http.request_parser import MAX_HEAD_BYTES, BadRequestError
 from harecross.platform.clock import monotonic_us
+from harecross.platform.memory_ledger import READ_BYTES
 from harecross.platform.peer_state import unread_bytes
 
-# The largest part that is read at once, and so the most input of one connection that waits to be parsed.
-READ_BYTES = 1 << 14
 # Input is parsed in parts that begin with this size. They grow while a part holds few messages or chunks.
 FIRST_SLICE_BYTES = 1 << 10
+MAX_SLICE_BYTES = 1 << 14
 SPARSE_SLICE_EVENTS = 2
 SLICE_GROWTH = 4
 # The number of messages and chunks after which a connection has parsed its share of a turn.
@@ -26,8 +26,7 @@
 MAX_DISCARDED_BYTES = 1 << 18
 
 # Every read is copied or parsed before the next one begins, so all connections share one buffer.
-READ_BUFFER = bytearray(READ_BYTES)
-READ_VIEW = memoryview(READ_BUFFER)
+READ_VIEW = memoryview(bytearray(READ_BYTES))
 
 
 class InputReader(RequestReceiver):
@@ -35,9 +34,10 @@
 
     __slots__ = ()
 
-    def get_buffer(self, sizehint: int) -> bytearray:  # noqa: ARG002
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
         """Called by the event loop before it reads."""
-        return READ_BUFFER
+        self.read_bytes = self.owner.ledger.read_bytes()
+        return READ_VIEW[: self.read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Called by the event loop when it has read: parses the input, or queues it if others have used up the turn."""
@@ -54,7 +54,7 @@
             self.body_arrival.read(now)
         if not self.input_stale:
             self.connected_at_us = now
-        elif nbytes < READ_BYTES:
+        elif nbytes < self.read_bytes:
             self.input_stale = False
         if scheduler.may_parse(self, now):
             self.parse(READ_VIEW[:nbytes], now)
@@ -98,7 +98,7 @@
             if not self.feed_parser(part):
                 return position
             if self.turn_events - events_before <= SPARSE_SLICE_EVENTS:
-                size *= SLICE_GROWTH
+                size = min(MAX_SLICE_BYTES, size * SLICE_GROWTH)
         if position < len(data):
             self.owner.input_scheduler.exceeded(self)
         return position
--- a/harecross/platform/memory_ledger.py
+++ b/harecross/platform/memory_ledger.py
@@ -19,6 +19,9 @@
 UPLOAD_WINDOW_BYTES = 1 << 16
 SHORT_UPLOAD_WINDOW_BYTES = 1 << 14
 OPENING_UPLOAD_WINDOW_BYTES = 1 << 18
+# The largest part that is read from a connection at once, and while memory is short.
+READ_BYTES = 1 << 16
+SHORT_READ_BYTES = 1 << 14
 
 
 class MemoryLedger:
@@ -68,6 +71,10 @@
         self.refused += not fits
         return fits
 
+    def read_bytes(self) -> int:
+        """Returns how many bytes are read from a connection at once."""
+        return SHORT_READ_BYTES if self.is_short else READ_BYTES
+
     def upload_window(self, *, opening: bool) -> int:
         """Returns how many bytes of an upload may wait; `opening` tells that no server takes any yet."""
         if self.is_short:
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -12,7 +12,7 @@
 from harecross.http.response_parser import ReadResult, ResponseParser
 from harecross.interface import Outcome
 from harecross.platform.clock import monotonic_us
-from harecross.platform.memory_ledger import MemoryLedger
+from harecross.platform.memory_ledger import READ_BYTES, MemoryLedger
 from harecross.upstream import duplicate_responses
 from harecross.upstream.duplicate_responses import ConnectionResponses, ResponseVariety, fingerprint
 from harecross.upstream.exchange import Exchange, HealthCheck
@@ -23,11 +23,9 @@
 # `MAX_REUSE_DELAY_US`. This costs at most one additional connection for every `REUSE_DELAY_DIVISOR` connections in use.
 MAX_REUSE_DELAY_US = 20_000
 REUSE_DELAY_DIVISOR = 4
-# The largest part of a response that is read at once. A client that does not read leaves one such part here.
-READ_BYTES = 1 << 14
-# Every part is copied before the next one is read, so all connections share one buffer.
-READ_BUFFER = bytearray(READ_BYTES)
-READ_VIEW = memoryview(READ_BUFFER)
+# Every part of a response is copied before the next one is read, so all connections share one buffer. A client that
+# does not read leaves one such part in this process.
+READ_VIEW = memoryview(bytearray(READ_BYTES))
 
 
 class ServerProcess:
@@ -194,9 +192,9 @@
         else:
             self.sent = True
 
-    def get_buffer(self, sizehint: int) -> bytearray:
+    def get_buffer(self, sizehint: int) -> memoryview:
         """See `asyncio.BufferedProtocol`."""
-        return READ_BUFFER
+        return READ_VIEW[: self.pool.ledger.read_bytes()]
 
     def buffer_updated(self, nbytes: int) -> None:
         """See `asyncio.BufferedProtocol`."""
--- a/tests/test_streamed_responses.py
+++ b/tests/test_streamed_responses.py
@@ -16,12 +16,13 @@
     server_that_sends,
 )
 
-from harecross.downstream import connection_manager
+from harecross.downstream import connection_manager, input_reader
 from harecross.http.body_buffer import (
     MAX_STREAM_BUFFER_BYTES,
     MIN_STREAM_BUFFER_BYTES,
 )
 from harecross.node import graceful_shutdown
+from harecross.platform.memory_ledger import MemoryLedger
 from harecross.standins.http import read_message
 from harecross.upstream import connection, connection_pool
 
@@ -204,9 +205,10 @@
 @pytest.mark.parametrize("reads", [True, False], ids=["is read late", "is not read"])
 def test_a_node_that_stops_ends_only_after_its_last_answers_have_left(reads, monkeypatch):
     # Guards against a restart that cuts off an answer whose client is still reading.
-    large_reads = bytearray(1 << 18)  # the kernel takes small parts whole, so that none wait in the node
-    monkeypatch.setattr(connection, "READ_BUFFER", large_reads)
-    monkeypatch.setattr(connection, "READ_VIEW", memoryview(large_reads))
+    # The kernel takes small parts whole, so that none wait in the node.
+    monkeypatch.setattr(MemoryLedger, "read_bytes", lambda _: 1 << 18)
+    monkeypatch.setattr(input_reader, "READ_VIEW", memoryview(bytearray(1 << 18)))
+    monkeypatch.setattr(connection, "READ_VIEW", memoryview(bytearray(1 << 18)))
     if not reads:
         monkeypatch.setattr(graceful_shutdown, "SLOW_READER_TIMEOUT_S", 0.2)
     body = LARGE_BODY * 4
