A keyed repeat is not sent to a process that may have taken over a server's address

Cause: a server is known by the address that discovery gave; nothing noted that its process may be another one. Change: when a server refuses a connection, or the last open one breaks, its address is uncertain for 7 s (discovery tells a change after 6 s at the latest); within that time no keyed request that may have run is sent to it, unless all servers share their keys. Other attempts go on as before. Cost: such a request fails where no other server of its cell is left.

--- a/harecross/dispatch/dispatcher.py
+++ b/harecross/dispatch/dispatcher.py
@@ -16,6 +16,7 @@
 from harecross.http.request_parser import ParsedRequest
 from harecross.interface import (
     NOT_PROCESSED,
+    DeduplicationScope,
     Endpoint,
     EndpointUpdateKind,
     FinalReason,
@@ -417,6 +418,7 @@
             # A retry that was decided within the deduplication window must not be sent after it, however long the
             # connection takes to open.
             attempt.start_by_us = request.first_run_us + class_settings.deduplication_window
+            attempt.needs_known_process = class_settings.deduplication_scope != DeduplicationScope.ALL
         return attempt
 
     def send(self, request_number: int, server: int, timeout: int) -> None:
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -23,6 +23,8 @@
 # `MAX_REUSE_DELAY_US`. This costs at most one additional connection for every `REUSE_DELAY_DIVISOR` connections in use.
 MAX_REUSE_DELAY_US = 20_000
 REUSE_DELAY_DIVISOR = 4
+# Discovery tells a change after 6 s at the latest; the rest is for its way to this node.
+LIST_LAG_US = 7_000_000
 # Every part of a response is copied before the next one is read, so all connections share one buffer. A client that
 # does not read leaves one such part in this process.
 READ_VIEW = memoryview(bytearray(READ_BYTES))
@@ -36,10 +38,22 @@
         started_at: Start time of the process, as listed by discovery.
         in_service: Whether new exchanges may be sent to the process.
         connection_count: Number of connections, including those that are being opened.
+        established: Number of connections that are open.
+        uncertain_until_us: Until when another process may have taken over the address without a word of discovery.
         idle: Idle connections in order of last use, the most recently used last.
     """
 
-    __slots__ = ("connection_count", "host", "idle", "in_service", "port", "server", "started_at")
+    __slots__ = (
+        "connection_count",
+        "established",
+        "host",
+        "idle",
+        "in_service",
+        "port",
+        "server",
+        "started_at",
+        "uncertain_until_us",
+    )
 
     def __init__(self, server: int, host: str, port: int, started_at: int) -> None:
         self.server = server
@@ -48,8 +62,19 @@
         self.started_at = started_at
         self.in_service = True
         self.connection_count = 0
+        self.established = 0
+        self.uncertain_until_us = 0
         self.idle: list[ServerConnection] = []
 
+    def connection_broke(self, now: int) -> None:
+        """Notes that the process refused a connection, or ended its last one in disorder: it may be gone."""
+        if self.established == 0:
+            self.uncertain_until_us = now + LIST_LAG_US
+
+    def may_be_another(self, now: int) -> bool:
+        """Returns whether a new connection may reach another process than the one that discovery has listed."""
+        return now < self.uncertain_until_us
+
     @property
     def address(self) -> str:
         """The address as `host:port`."""
@@ -169,6 +194,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See `asyncio.BufferedProtocol`."""
         self.transport = cast(asyncio.Transport, transport)
+        self.process.established += 1
         self.descriptor = transport.get_extra_info("socket").fileno()
         # With a high-water mark of 0, `pause_writing` is called whenever bytes have not left this process.
         self.transport.set_write_buffer_limits(high=0)
@@ -221,6 +247,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """See `asyncio.BufferedProtocol`."""
         self.pool.remove(self)
+        self.process.established -= 1
+        if self.closed_record is None and (exc is not None or self.exchange is not None):
+            self.process.connection_broke(monotonic_us())
         self.usable = False
         self.transport = None
         self.write_blocked = False
--- a/harecross/upstream/connection_pool.py
+++ b/harecross/upstream/connection_pool.py
@@ -157,6 +157,7 @@
             process is None
             or not process.in_service
             or min(exchange.deadline_us, exchange.start_by_us) <= now
+            or (exchange.needs_known_process and process.may_be_another(now))
         ):
             self.loop.call_soon(self.finish, exchange, Outcome.NOT_SENT)
             return
@@ -262,6 +263,8 @@
         else:
             self.descriptors.upstream_connections -= 1
             connection.process.connection_count -= 1
+        if isinstance(error, ConnectionRefusedError):
+            connection.process.connection_broke(monotonic_us())
         is_local = isinstance(error, OSError) and is_local_shortage(error)
         self.finish(exchange, Outcome.NOT_SENT if is_local else Outcome.CONNECT_FAILED)
 
@@ -275,8 +278,10 @@
             self.release(connection)
             return
         now = monotonic_us()
+        process = connection.process
         expired = min(exchange.deadline_us, exchange.start_by_us) <= now
-        if not connection.process.in_service or expired or not exchange.is_wanted():
+        unknown = exchange.needs_known_process and process.may_be_another(now)
+        if not process.in_service or expired or unknown or not exchange.is_wanted():
             self.release(connection)
             self.finish(exchange, Outcome.NOT_SENT)
         elif connection.transport is None or connection.transport.is_closing():
--- a/harecross/upstream/exchange.py
+++ b/harecross/upstream/exchange.py
@@ -63,6 +63,8 @@
         upload: A body that is still being received; None if `body` is complete.
         deadline_us: Time at which the exchange is abandoned.
         start_by_us: The first byte is sent before this time or not at all.
+        needs_known_process: Whether the exchange may be sent only to the process that discovery has listed, and not
+            to one that may have taken over its address.
         started_us: Time at which the exchange was passed to the pool, or at which its upload was sent completely.
         upload_timeout_us: Timeout for the response, counted from when the last byte of the upload was sent.
         on_ended: Called exactly once, with the exchange, its outcome, the response body and the load report.
@@ -77,6 +79,7 @@
         "deadline_us",
         "finished",
         "head",
+        "needs_known_process",
         "on_ended",
         "process",
         "response_streamed",
@@ -110,6 +113,7 @@
         self.upload_timeout_us = 0
         self.response_streamed = False
         self.start_by_us = NO_DEADLINE_US
+        self.needs_known_process = False
 
     def may_be_passed_on(self) -> bool:
         """Returns whether the first bytes of a response may be passed on before the rest has come."""
