--- a/benchmarks/other_clients.py
+++ b/benchmarks/other_clients.py
@@ -11,7 +11,6 @@
 
 import argparse
 import asyncio
-import os
 import sys
 import tempfile
 import time
@@ -23,12 +22,11 @@
 import uvloop
 
 from harecross.platform.process_memory import ResidentMemory, parse_status
-from harecross.soak.abusive_clients import KINDS
+from harecross.soak.abusive_clients import KINDS, start_process
 from harecross.standins.cluster import NodeProcess, node_settings
 from harecross.standins.discovery import entry, update
 from harecross.standins.http import answer, header, listen, read_message
 
-ROOT = Path(__file__).parent.parent
 REQUEST_INTERVAL_S = 0.05
 REQUEST_TIMEOUT_S = 1.0
 ANSWER_GRACE_S = 0.5
@@ -88,17 +86,6 @@
     """Answers nothing: the discovery of the node, which uses its configured list."""
 
 
-async def abuse(kind: str, clients: int, address: tuple[str, int], seconds: float) -> None:
-    """Runs abusive clients for some time."""
-    stop = asyncio.Event()
-    tasks = [asyncio.create_task(KINDS[kind](address, stop)) for _ in range(clients)]
-    await asyncio.sleep(seconds)
-    stop.set()
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-
-
 async def send_politely(address: tuple[str, int], outcome: Outcome, number: int) -> None:
     """Sends one request on a new connection and records what comes back."""
     began = time.monotonic()
@@ -158,12 +145,7 @@
         status = Path(f"/proc/{node.process.pid}/status")
         idle = parse_status(status.read_text()).current
         outcome = Outcome()
-        target = f"{node.address[0]}:{node.address[1]}"
-        arguments = [__file__, "--kind", kind, "--clients", str(clients), "--seconds", str(seconds)]
-        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
-        abuser = await asyncio.create_subprocess_exec(
-            sys.executable, *arguments, "--abuse", target, env=environment
-        )
+        abuser = await start_process(kind, clients, node.address, seconds)
         polite = []
         for number in range(int(seconds / REQUEST_INTERVAL_S)):
             polite.append(asyncio.create_task(send_politely(node.address, outcome, number)))
@@ -192,12 +174,7 @@
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--memory", type=int, nargs="+", default=[192, 96])
     parser.add_argument("--servers", type=int, default=6)
-    parser.add_argument("--abuse", default="", help=argparse.SUPPRESS)
     options = parser.parse_args()
-    if options.abuse:
-        host, _, port = options.abuse.rpartition(":")
-        run(abuse(options.kind, options.clients[0], (host, int(port)), options.seconds))
-        return
     for kind in KINDS:
         for clients in options.clients if options.kind in kind else []:
             for memory_mb in options.memory:
--- a/harecross/soak/abusive_clients.py
+++ b/harecross/soak/abusive_clients.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from itertools import count
+from pathlib import Path
 from typing import Any
 
 Address = tuple[str, int]
@@ -30,9 +33,14 @@
 request_numbers = count(1)
 
 
+def new_request_id() -> str:
+    """Returns an ID that no other request has, in this process or another one."""
+    return f"abuse-{os.getpid()}-{next(request_numbers)}"
+
+
 def upload_head(framing: str, request_id: str = "") -> bytes:
     """Returns the head of a keyed request with a body."""
-    request_id = request_id or f"abuse-{next(request_numbers)}"
+    request_id = request_id or new_request_id()
     return (
         f"POST /put/{request_id} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {request_id}\r\nX-Timeout: 2000m\r\n"
         f"Idempotency-Key: {request_id}\r\n{framing}\r\n\r\n"
@@ -152,7 +160,7 @@
     async def act() -> None:
         sock = await connect(address, SLOW_RECEIVE_BUFFER_BYTES)
         try:
-            name = f"abuse-{next(request_numbers)}"
+            name = new_request_id()
             text = f"GET /read/large HTTP/1.1\r\nX-Request-ID: {name}\r\nX-Timeout: 2000m\r\n\r\n"
             await loop.sock_sendall(sock, text.encode())
             while not stop.is_set():
@@ -174,7 +182,7 @@
     async def act() -> None:
         sock = await connect(address)
         try:
-            name = f"abuse-{next(request_numbers)}"
+            name = new_request_id()
             text = f"GET /read/1 HTTP/1.1\r\nX-Request-ID: {name}\r\nX-Timeout: 2000m\r\n\r\n".encode()
             body = upload_head(f"Content-Length: {UPLOAD_BYTES}") + bytes(UPLOAD_BYTES)
             with suppress(TimeoutError):
@@ -197,3 +205,30 @@
     "slow readers": read_slowly,
     "departures": leave_behind_unread_bytes,
 }
+
+
+async def act_together(kind: str, clients: int, address: Address, seconds: float) -> None:
+    """Runs clients of one kind for some time."""
+    stop = asyncio.Event()
+    tasks = [asyncio.create_task(KINDS[kind](address, stop)) for _ in range(clients)]
+    await asyncio.sleep(seconds)
+    stop.set()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def start_process(
+    kind: str, clients: int, address: Address, seconds: float
+) -> asyncio.subprocess.Process:
+    """Starts a process that runs clients of one kind, so that they do not slow down this one."""
+    arguments = [kind, str(clients), address[0], str(address[1]), str(seconds)]
+    environment = {**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])}
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "harecross.soak.abusive_clients", *arguments, env=environment
+    )
+
+
+if __name__ == "__main__":
+    own_kind, count_text, host, port_text, seconds_text = sys.argv[1:]
+    asyncio.run(act_together(own_kind, int(count_text), (host, int(port_text)), float(seconds_text)))
--- a/harecross/soak/clients.py
+++ b/harecross/soak/clients.py
@@ -10,10 +10,14 @@
 
 from harecross.soak.plan import ClassPlan, Plan
 from harecross.soak.records import ClientOutcome, ClientRecord, Idempotency, Records
-from harecross.standins.http import read_message
+from harecross.standins.http import header, read_body, read_message
 
 # Time after the deadline of a request for which a client waits before the request counts as unanswered.
 ANSWER_WAIT_S = 0.8
+# Time for which a client reads an answer whose head has come, as its size is unknown.
+LARGE_ANSWER_WAIT_S = 8.0
+# Longest time after which a client that has left sends its request again.
+MAX_REPEAT_DELAY_S = 2.0
 BURST_CONNECTIONS = 150
 # Time for which connections of a burst stay open without a request.
 BURST_IDLE_S = 2.0
@@ -102,11 +106,31 @@
             self._records.clients[record.id] = record
             connection[1].write(request_bytes(record, request_class))
             await self._receive(record, connection, disconnect_after)
+            if record.outcome is ClientOutcome.DISCONNECTED:
+                self._repeat_later(record, request_class)
             if record.outcome is not ClientOutcome.CLOSED or record.new_connection:
                 return
             # The node may have closed an idle connection at the moment the request was sent: send it again.
             connection, record.new_connection, record.resent = None, True, True
 
+    def _repeat_later(self, record: ClientRecord, request_class: ClassPlan) -> None:
+        """Sends a request again with the same ID, which a server may run only if it never ran before."""
+        idempotent = request_class.idempotency is Idempotency.IDEMPOTENT
+        if not idempotent and self._rng.random() < self._plan.repeat_probability:
+            self._start_task(self._repeat(record, request_class, self._rng.uniform(0, MAX_REPEAT_DELAY_S)))
+
+    async def _repeat(self, record: ClientRecord, request_class: ClassPlan, delay: float) -> None:
+        await asyncio.sleep(delay)
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+            record.repeated_at = time.monotonic()
+            writer.write(request_bytes(record, request_class))
+            async with asyncio.timeout(record.timeout + ANSWER_WAIT_S):
+                await read_message(reader)
+            writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+
     def _new_record(self, request_class: ClassPlan) -> ClientRecord:
         self._count += 1
         timeout = round(request_class.max_deadline * self._rng.uniform(0.3, 1.0), 3)
@@ -136,7 +160,13 @@
         wait_s = disconnect_after if disconnect_after is not None else record.timeout + ANSWER_WAIT_S
         try:
             async with asyncio.timeout(wait_s):
-                head, _ = await read_message(reader)
+                head = await reader.readuntil(b"\r\n\r\n")
+                record.first_byte_at = time.monotonic()
+                if not header(head, b"Transfer-Encoding"):
+                    record.size = len(await read_body(reader, head))
+            if header(head, b"Transfer-Encoding"):
+                async with asyncio.timeout(LARGE_ANSWER_WAIT_S):
+                    record.size = len(await read_body(reader, head))
             record.outcome, record.status = ClientOutcome.ANSWERED, int(head.split(b" ")[1])
             record.ended_at = time.monotonic()
             if b"connection: close" in head.lower():
--- a/harecross/soak/node.py
+++ b/harecross/soak/node.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from random import Random
 
+from harecross.platform.process_memory import parse_status
 from harecross.soak.clients import NodeClients
 from harecross.soak.discoveries import SoakDiscovery
 from harecross.soak.plan import Plan
@@ -95,7 +96,7 @@
             "listen": self._listen,
             "discovery": self.discovery.address,
             "seed": f"{self._plan.seed * 100 + self._process_count:x}",
-            "limits": {"sockets": 1024, "memory_mb": 192},
+            "limits": {"sockets": 1024, "memory_mb": self._plan.memory_mb},
             "known": self.discovery.full_list(self._configured_changes()),
             "settings": node_settings(
                 self._class_settings(),
@@ -129,6 +130,7 @@
 
     async def close(self) -> None:
         """Ends the process and closes the discoveries."""
+        self._check_memory()
         self._exit_expected = True
         if self._process is not None:
             await self._process.end()
@@ -136,6 +138,19 @@
         for discovery in self.discoveries:
             discovery.close()
 
+    def _check_memory(self) -> None:
+        """Records a crash if the process was larger than its limit at any time."""
+        process = self._process.process if self._process is not None else None
+        if process is None or process.returncode is not None:
+            return
+        try:
+            peak = parse_status(Path(f"/proc/{process.pid}/status").read_text()).peak
+        except OSError:
+            return
+        if peak > self._plan.memory_mb << 20:
+            text = f"{peak >> 20} MB resident of {self._plan.memory_mb}"
+            self._records.crashes.append(NodeEventRecord(self.process_name, time.monotonic(), text))
+
     def _store_log(self) -> None:
         if self._process is not None:
             self._records.logs[self.process_name] = self._process.log_lines
@@ -191,6 +206,7 @@
             self.clients.reconnect_for(RECONNECT_S)
             max_deadline = max(request_class.max_deadline for request_class in self._plan.classes)
             await asyncio.sleep(max_deadline + KILL_AFTER_S)
+        self._check_memory()
         self.record_event("SIGKILL")
         await process.end()
         self._store_log()
--- a/harecross/soak/oracle.py
+++ b/harecross/soak/oracle.py
@@ -37,6 +37,12 @@
 STOP_INTAKE_S = 0.7
 
 
+# The last byte of an answer up to this size is timed, of a larger one the first byte.
+MAX_SMALL_ANSWER_BYTES = 1 << 16
+# Time after a server has written the first bytes of an answer in which the node may not have seen them.
+BEGUN_MARGIN_S = 0.15
+
+
 class Rule(Enum):
     """The rules of the protocol. The values are those of the reports."""
 
@@ -83,7 +89,8 @@
         breaches = [Breach(Rule.CRASH, c.at, f"{c.node} {c.text}") for c in self._records.crashes]
         for client in self._records.clients.values():
             attempts = self._attempts[client.id]
-            breaches += self._check_answer(client)
+            breaches += self._check_answer(client, attempts)
+            breaches += self._check_cut_off(client, attempts)
             breaches += self._check_duplicates(client, attempts)
             for attempt in attempts:
                 breaches += self._check_drain(client, attempt)
@@ -92,17 +99,41 @@
         breaches += self._check_slow_start()
         return sorted(breaches, key=lambda breach: breach.at)
 
-    def _check_answer(self, client: ClientRecord) -> Iterator[Breach]:
-        """Checks that each request gets one final answer in time, unless SIGKILL ended it."""
+    def _check_answer(self, client: ClientRecord, attempts: list[AttemptRecord]) -> Iterator[Breach]:
+        """Checks that each request gets one final answer in time, unless SIGKILL ended it.
+
+        An answer that its server broke off after its first bytes is not lost. Of a large one the first bytes are timed.
+        """
+        broken_off = any(each.began_at and each.outcome is AttemptOutcome.RESET for each in attempts)
+        if client.first_byte_at and broken_off and client.outcome is ClientOutcome.CLOSED:
+            return
         if client.outcome in (ClientOutcome.CLOSED, ClientOutcome.UNANSWERED):
             text = self._lost_reason(client, client.outcome)
             if text:
                 yield Breach(Rule.LOST, client.ended_at, text, client.id)
         elif client.outcome is ClientOutcome.ANSWERED:
-            late = client.ended_at - client.sent_at - client.timeout
+            answered_at = client.first_byte_at if client.size > MAX_SMALL_ANSWER_BYTES else client.ended_at
+            late = answered_at - client.sent_at - client.timeout
             if late > ANSWER_GRACE_S + self._slack:
                 yield Breach(Rule.LOST, client.ended_at, f"answered {late:.3f} s after its time", client.id)
 
+    def _check_cut_off(self, client: ClientRecord, attempts: list[AttemptRecord]) -> Iterator[Breach]:
+        """Checks that an answer of unknown length is passed on if its server writes it, but for late in a shutdown."""
+        if client.outcome is ClientOutcome.DISCONNECTED or client.status == 200:
+            return
+        signals = [event for event in self._records.node_events if event.node == client.node]
+        if any(event.text in ("SIGTERM", "SIGKILL") and event.at <= client.ended_at for event in signals):
+            return
+        for attempt in attempts:
+            seen_until = attempt.began_at + BEGUN_MARGIN_S + self._slack
+            if (
+                attempt.began_at
+                and attempt.outcome is AttemptOutcome.UNFINISHED
+                and attempt.ended_at > seen_until
+            ):
+                text = f"a sound answer of {attempt.server} was cut off, begun {attempt.began_at:.3f}"
+                yield Breach(Rule.LOST, attempt.ended_at, text, client.id)
+
     def _lost_reason(self, client: ClientRecord, outcome: ClientOutcome) -> str:
         """Returns why a request without an answer is lost; empty if SIGKILL ended it as the protocol allows."""
         terminated_at = self._kill_between(client.node, client.sent_at, client.ended_at)
@@ -169,12 +200,16 @@
         """Checks that no attempt begins for a client that has closed its connection."""
         late = attempt.first_byte_at - client.ended_at
         limit = client.ended_at + DISCONNECT_GRACE_S + self._slack
+        if client.repeated_at and attempt.first_byte_at >= client.repeated_at:
+            return
         if client.outcome is ClientOutcome.DISCONNECTED and attempt.first_byte_at > limit:
             text = f"{late:.3f} s after its client closed"
             yield Breach(Rule.CLIENT_GONE, attempt.first_byte_at, text, client.id)
 
     def _check_deadline(self, client: ClientRecord, attempt: AttemptRecord) -> Iterator[Breach]:
         """Checks that a server is given no more time than the client has left."""
+        if client.repeated_at and attempt.first_byte_at >= client.repeated_at:
+            return
         excess = attempt.first_byte_at + attempt.timeout - client.sent_at - client.timeout
         if excess > DEADLINE_SLACK_S + self._slack:
             text = f"{excess:.3f} s more than its client has"
--- a/harecross/soak/plan.py
+++ b/harecross/soak/plan.py
@@ -140,6 +140,21 @@
     duration: float = 0.0
 
 
+class AbusePlan(NamedTuple):
+    """Abusive clients of one node. Times are seconds; `start` counts from the start of the run.
+
+    Attributes:
+        kind: A key of `abusive_clients.KINDS`.
+        clients: How many of them act at the same time.
+    """
+
+    node: str
+    kind: str
+    start: float
+    duration: float
+    clients: int
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """One soak. Times are seconds from the start of the run.
@@ -155,6 +170,10 @@
         call_faults: Faults of system calls of each node; not applied without a C compiler.
         clock_steps: Steps of the wall clock of each node; not applied without a C compiler.
         link_faults: Network faults; a server that one of them names is behind a proxy.
+        memory_mb: Memory limit of each node.
+        abuse: Clients that flood nodes, stall or are slow, in a process of their own.
+        repeat_probability: Probability that a client that has left sends its request again with the same ID.
+        late_answer_probability: Probability that an answer is large, has no length and is written with a pause.
     """
 
     seed: int
@@ -173,3 +192,7 @@
     call_faults: dict[str, tuple[CallFault, ...]]
     clock_steps: dict[str, tuple[ClockStep, ...]]
     link_faults: tuple[LinkFault, ...]
+    memory_mb: int
+    abuse: tuple[AbusePlan, ...]
+    repeat_probability: float
+    late_answer_probability: float
--- a/harecross/soak/planner.py
+++ b/harecross/soak/planner.py
@@ -6,7 +6,9 @@
 from enum import Enum
 from random import Random
 
+from harecross.soak.abusive_clients import KINDS
 from harecross.soak.plan import (
+    AbusePlan,
     ClassPlan,
     DiscoveryPlan,
     LinkFault,
@@ -38,6 +40,10 @@
 # Longest time for which one direction of a link is held.
 MAX_HELD_S = 1.5
 MAX_LINK_DELAY_S = 0.06
+# Fraction of the runs without abusive clients.
+ABUSE_FREE_FRACTION = 1 / 3
+# Kinds of abusive clients of which a few are enough.
+FLOODS = frozenset(("health checks", "unsound requests", "tiny chunks"))
 ACCEPT_ERRORS = [errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EPROTO]
 CONNECT_ERRORS = [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.ETIMEDOUT, errno.EHOSTUNREACH]
 
@@ -109,9 +115,28 @@
         call_faults={node: draw_call_faults(rng, seed, node, duration, emphasis) for node in nodes},
         clock_steps={node: draw_clock_steps(rng, duration) for node in nodes},
         link_faults=draw_link_faults(Random(f"{seed}/links"), names, duration),
+        memory_mb=Random(f"{seed}/memory").choice([192, 96]),
+        abuse=draw_abuse(Random(f"{seed}/abuse"), nodes, duration),
+        repeat_probability=Random(f"{seed}/repeats").choice([0.0, 0.5, 1.0]),
+        late_answer_probability=Random(f"{seed}/late").choice([0.0, 0.03, 0.1]),
     )
 
 
+def draw_abuse(rng: Random, nodes: tuple[str, ...], duration: float) -> tuple[AbusePlan, ...]:
+    """Draws abusive clients, in two of three runs: a few that flood a node, or many that stall or are slow."""
+    if rng.random() < ABUSE_FREE_FRACTION:
+        return ()
+    return tuple(draw_abusive_clients(rng, rng.choice(nodes), duration) for _ in range(rng.randint(1, 2)))
+
+
+def draw_abusive_clients(rng: Random, node: str, duration: float) -> AbusePlan:
+    """Draws the abusive clients of one kind."""
+    kind = rng.choice(sorted(KINDS))
+    clients = rng.choice([1, 2, 6]) if kind in FLOODS else rng.choice([40, 200, 500])
+    start = rng.uniform(1, duration - QUIET_END_S)
+    return AbusePlan(node, kind, start, rng.uniform(2.0, 5.0), clients)
+
+
 def request_classes(max_deadline: float) -> tuple[ClassPlan, ...]:
     """Returns one request class for each kind of idempotency."""
     return (
--- a/harecross/soak/records.py
+++ b/harecross/soak/records.py
@@ -67,6 +67,9 @@
         timeout: Seconds from `sent_at` until the deadline.
         new_connection: Whether it was the first request on its connection.
         outcome: None while the request is in flight.
+        first_byte_at: When the first byte of the response arrived; 0 if none did.
+        size: Size of the body of the response.
+        repeated_at: When the client sent the request again with the same ID, after it had left; 0 if it did not.
         resent: Whether its idle connection was closed before a response, so that it was sent again on a new one.
     """
 
@@ -79,6 +82,9 @@
     outcome: ClientOutcome | None = None
     status: int = 0
     ended_at: float = 0.0
+    first_byte_at: float = 0.0
+    size: int = 0
+    repeated_at: float = 0.0
     resent: bool = False
 
 
@@ -90,6 +96,7 @@
         id: Identifier of the request.
         received_at: When the last byte arrived.
         timeout: Value of the X-Timeout header, in seconds.
+        began_at: When the server wrote the first bytes of an answer whose rest follows late; 0 without one.
     """
 
     id: str
@@ -99,6 +106,7 @@
     timeout: float
     outcome: AttemptOutcome = AttemptOutcome.UNFINISHED
     ended_at: float = 0.0
+    began_at: float = 0.0
 
 
 class EndpointChange(NamedTuple):
--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -9,10 +9,11 @@
 from pathlib import Path
 from typing import Any
 
+from harecross.soak.abusive_clients import start_process
 from harecross.soak.discoveries import SoakDiscovery
 from harecross.soak.node import SoakNode
 from harecross.soak.oracle import Breach, Oracle
-from harecross.soak.plan import ListChange, NodeAction, NodeEvent, Plan
+from harecross.soak.plan import AbusePlan, ListChange, NodeAction, NodeEvent, Plan
 from harecross.soak.records import EndpointChange, Lifecycle, NodeEventRecord, Records
 from harecross.soak.servers import SoakServer
 from harecross.standins.cluster import ClusterError
@@ -31,7 +32,9 @@
         self._servers: dict[str, SoakServer] = {}
         for server in plan.servers:
             faults = [fault for fault in plan.link_faults if fault.server == server.name]
-            self._servers[server.name] = SoakServer(server, plan.seed, self.records, faults)
+            self._servers[server.name] = SoakServer(
+                server, plan.seed, self.records, faults, plan.late_answer_probability
+            )
         self._nodes = {name: SoakNode(plan, name, folder, self.records, shim) for name in plan.nodes}
         self._tasks: set[asyncio.Task[None]] = set()
         self._started_at = 0.0
@@ -81,6 +84,8 @@
             server.set_run_start(self._started_at)
         end = self._started_at + self._plan.duration
         clients = [asyncio.create_task(node.clients.run(end)) for node in self._nodes.values()]
+        for abuse in self._plan.abuse:
+            self._start_task(self._run_abuse(abuse))
         await self._run_events()
         await asyncio.gather(*clients)
         await asyncio.sleep(SETTLE_S)
@@ -129,6 +134,14 @@
             case NodeAction.STOP | NodeAction.KILL:
                 await node.restart(graceful=event.action is NodeAction.STOP)
 
+    async def _run_abuse(self, abuse: AbusePlan) -> None:
+        """Runs abusive clients in a process of their own."""
+        await asyncio.sleep(max(0.0, self._started_at + abuse.start - time.monotonic()))
+        node = self._nodes[abuse.node]
+        node.record_event(f"{abuse.clients} abusive clients: {abuse.kind}, {abuse.duration:.1f} s")
+        process = await start_process(abuse.kind, abuse.clients, node.clients.address, abuse.duration)
+        await process.wait()
+
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/harecross/soak/servers.py
+++ b/harecross/soak/servers.py
@@ -16,6 +16,10 @@
 
 # Factor by which a slow request takes longer.
 SLOW_FACTOR = 10.0
+# The answer to abusive clients that read slowly, and one whose rest is late.
+LARGE_ANSWER_PATH = b"/read/large"
+LARGE_ANSWER = bytes(400_000)
+LATE_ANSWER = bytes(120_000)
 TIMEOUT_UNITS_S = {b"m": 1e-3, b"u": 1e-6}
 
 
@@ -41,9 +45,19 @@
     """
 
     def __init__(
-        self, plan: ServerPlan, seed: int, records: Records, faults: Sequence[LinkFault] = ()
+        self,
+        plan: ServerPlan,
+        seed: int,
+        records: Records,
+        faults: Sequence[LinkFault] = (),
+        late_answer_probability: float = 0.0,
     ) -> None:
-        """Creates a server with the given faults of its link; without any, there is no proxy in front of it."""
+        """Creates a server with the given faults of its link; without any, there is no proxy in front of it.
+
+        `late_answer_probability` applies to servers without a proxy.
+        """
+        self.late_answer_probability = 0.0 if faults else late_answer_probability
+        self.late_rng = Random(f"{seed}/{plan.name}/late")
         self.plan = plan
         self.rng = Random(f"{seed}/{plan.name}")
         self.records = records
@@ -109,6 +123,7 @@
         self._first_byte_at = 0.0
         self._record: AttemptRecord | None = None
         self._work_timer: asyncio.TimerHandle | None = None
+        self._asks_large_answer = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the open connection."""
@@ -124,7 +139,8 @@
         self._finish(AttemptOutcome.UNFINISHED)
 
     def abort(self) -> None:
-        """Resets the connection."""
+        """Resets the connection, because the server's process ends."""
+        self._finish(AttemptOutcome.RESET)
         if self._transport is not None:
             self._transport.abort()
 
@@ -159,6 +175,7 @@
         relay = self._relay()
         if relay is not None:
             relay.request_started_at = None
+        self._asks_large_answer = LARGE_ANSWER_PATH in head.split(b"\r\n", 1)[0]
         self._record = AttemptRecord(
             header(head, b"X-Request-ID").decode("latin-1"),
             self._server.plan.name,
@@ -205,11 +222,33 @@
             self._transport.write(data)
 
     def _succeed(self) -> None:
+        server = self._server
+        if self._asks_large_answer:
+            self._answer(AttemptOutcome.OK, answer(200, LARGE_ANSWER))
+            return
+        if server.late_rng.random() < server.late_answer_probability:
+            self._answer_late()
+            return
         close = self._server.rng.random() < self._server.plan.close_probability
         self._answer(AttemptOutcome.OK, answer(200, b"ok", b"Connection: close\r\n" if close else b""))
         if close and self._transport is not None:
             self._transport.close()
 
+    def _answer_late(self) -> None:
+        """Writes the first bytes of a large answer of unknown length, and the rest after a pause."""
+        rng = self._server.late_rng
+        first_bytes = rng.choice([75, 5_000, 15_000])
+        chunk = b"%x\r\n%s\r\n" % (len(LATE_ANSWER), LATE_ANSWER)
+        text = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n"
+        if self._transport is not None and self._record is not None:
+            self._record.began_at = time.monotonic()
+            self._transport.write(text[:first_bytes])
+            pause_s = rng.uniform(0.3, 1.6)
+            rest = text[first_bytes:]
+            self._work_timer = asyncio.get_running_loop().call_later(
+                pause_s, self._answer, AttemptOutcome.OK, rest
+            )
+
     def _fail(self) -> None:
         self._answer(AttemptOutcome.ERROR, answer(500, b"no"))
 
