--- a/benchmarks/soak_mutations.py
+++ b/benchmarks/soak_mutations.py
@@ -159,6 +159,44 @@
         "        rate = self.warm_rate * self.factor(now, server)\n",
         "        return True\n        rate = self.warm_rate * self.factor(now, server)\n",
     ),
+    Mutation(
+        "a client's input is parsed and answered whole in one turn",
+        "downstream/input_reader.py",
+        "EVENTS_PER_TURN = 32\n",
+        "EVENTS_PER_TURN = 1 << 30\n",
+        (("downstream/input_scheduler.py", "TURN_SHARE_US = 2_000\n", "TURN_SHARE_US = 1 << 40\n"),),
+    ),
+    Mutation(
+        "an answer of unknown length is cut off at its deadline",
+        "upstream/connection.py",
+        "        return self.parser.begun_without_length and self.exchange.may_be_passed_on()\n",
+        "        return False\n",
+    ),
+    Mutation(
+        "a close behind unread bytes is not allowed for",
+        "platform/peer_state.py",
+        "    return bool(allocated * RECEIVE_WINDOW_DIVISOR >= limit)\n",
+        "    return False\n",
+    ),
+    Mutation(
+        "an id is forgotten with its request",
+        "dispatch/remembered_ids.py",
+        "        if may_have_run:\n",
+        "        if False:\n",
+    ),
+    Mutation(
+        "bodies have no budget and stay with their connections",
+        "platform/memory_ledger.py",
+        "        fits = self.held + size <= limit\n",
+        "        fits = True\n",
+        (
+            (
+                "downstream/connection_state.py",
+                '        self.url = self.body = b""\n',
+                '        self.url = b""\n',
+            ),
+        ),
+    ),
 ]
 
 
--- a/harecross/soak/clients.py
+++ b/harecross/soak/clients.py
@@ -18,6 +18,11 @@
 LARGE_ANSWER_WAIT_S = 8.0
 # Longest time after which a client that has left sends its request again.
 MAX_REPEAT_DELAY_S = 2.0
+# An upload that a client sends behind its request before it leaves, so that its close stands behind unread bytes.
+UNREAD_UPLOAD = (
+    b"POST /put/unread HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: unread\r\nX-Timeout: 500m\r\n"
+    b"Idempotency-Key: unread\r\nContent-Length: 2000000\r\n\r\n"
+) + bytes(2_000_000)
 BURST_CONNECTIONS = 150
 # Time for which connections of a burst stay open without a request.
 BURST_IDLE_S = 2.0
@@ -105,6 +110,8 @@
             record.node, record.sent_at = self.process_name, time.monotonic()
             self._records.clients[record.id] = record
             connection[1].write(request_bytes(record, request_class))
+            if disconnect_after is not None and self._rng.random() < self._plan.unread_probability:
+                connection[1].write(UNREAD_UPLOAD)
             await self._receive(record, connection, disconnect_after)
             if record.outcome is ClientOutcome.DISCONNECTED:
                 self._repeat_later(record, request_class)
@@ -177,7 +184,8 @@
             disconnected = disconnect_after is not None
             record.outcome = ClientOutcome.DISCONNECTED if disconnected else ClientOutcome.UNANSWERED
             record.ended_at = time.monotonic()
-            writer.close()
+            # What the kernel has is still sent, and the close follows behind it.
+            writer.transport.abort()
         except (OSError, asyncio.IncompleteReadError, ValueError):
             record.outcome, record.ended_at = ClientOutcome.CLOSED, time.monotonic()
             writer.close()
--- a/harecross/soak/plan.py
+++ b/harecross/soak/plan.py
@@ -120,6 +120,7 @@
         DISCOVERY_DOWN: Take the discovery down for a while.
         STOP: Send SIGTERM, later SIGKILL, and restart the process.
         KILL: Send SIGKILL and restart the process.
+        KILL_AGAIN: The same, and once more soon after the restart.
     """
 
     MIGRATE = "move"
@@ -129,6 +130,7 @@
     DISCOVERY_DOWN = "down"
     STOP = "stop"
     KILL = "kill"
+    KILL_AGAIN = "kill again"
 
 
 class NodeEvent(NamedTuple):
@@ -173,6 +175,7 @@
         memory_mb: Memory limit of each node.
         abuse: Clients that flood nodes, stall or are slow, in a process of their own.
         repeat_probability: Probability that a client that has left sends its request again with the same ID.
+        unread_probability: Probability that a client that leaves has sent much behind its request, which lies unread.
         late_answer_probability: Probability that an answer is large, has no length and is written with a pause.
     """
 
@@ -195,4 +198,5 @@
     memory_mb: int
     abuse: tuple[AbusePlan, ...]
     repeat_probability: float
+    unread_probability: float
     late_answer_probability: float
--- a/harecross/soak/planner.py
+++ b/harecross/soak/planner.py
@@ -40,6 +40,8 @@
 # Longest time for which one direction of a link is held.
 MAX_HELD_S = 1.5
 MAX_LINK_DELAY_S = 0.06
+# Fraction of the kills that are followed by another one.
+KILL_SERIES_FRACTION = 0.5
 # Fraction of the runs without abusive clients.
 ABUSE_FREE_FRACTION = 1 / 3
 # Kinds of abusive clients of which a few are enough.
@@ -118,6 +120,7 @@
         memory_mb=Random(f"{seed}/memory").choice([192, 96]),
         abuse=draw_abuse(Random(f"{seed}/abuse"), nodes, duration),
         repeat_probability=Random(f"{seed}/repeats").choice([0.0, 0.5, 1.0]),
+        unread_probability=Random(f"{seed}/unread").choice([0.0, 0.5]),
         late_answer_probability=Random(f"{seed}/late").choice([0.0, 0.03, 0.1]),
     )
 
@@ -132,7 +135,7 @@
 def draw_abusive_clients(rng: Random, node: str, duration: float) -> AbusePlan:
     """Draws the abusive clients of one kind."""
     kind = rng.choice(sorted(KINDS))
-    clients = rng.choice([1, 2, 6]) if kind in FLOODS else rng.choice([40, 200, 500])
+    clients = rng.choice([1, 2, 6]) if kind in FLOODS else rng.choice([40, 200, 800])
     start = rng.uniform(1, duration - QUIET_END_S)
     return AbusePlan(node, kind, start, rng.uniform(2.0, 5.0), clients)
 
@@ -275,7 +278,9 @@
         # Clients keep sending until SIGKILL. A node is not migrated while it shuts down or in its first second.
         ended_at = at + (self._max_deadline + 0.7 if action is NodeAction.STOP else 0.0)
         self._events = [event for event in self._events if not at - 0.2 < event.at < ended_at + 2.0]
-        self._add(at, action)
+        # A generator of its own, so that the draws that follow stay the same.
+        in_series = action is NodeAction.KILL and Random(f"{at}/series").random() < KILL_SERIES_FRACTION
+        self._add(at, NodeAction.KILL_AGAIN if in_series else action)
         if self._rng.random() < 0.5:
             self._add(ended_at - 0.05, NodeAction.DISCOVERY_DOWN, self._rng.uniform(1.5, 3.0))
 
--- a/harecross/soak/run.py
+++ b/harecross/soak/run.py
@@ -19,6 +19,8 @@
 from harecross.standins.cluster import ClusterError
 
 DELAY_CHECK_INTERVAL_S = 0.005
+# Time from the start of a process until the next kill of a series.
+KILL_INTERVAL_S = 0.4
 # Time from the end of the load until the records are complete.
 SETTLE_S = 0.5
 
@@ -133,6 +135,10 @@
                 await node.discovery.go_down(event.duration)
             case NodeAction.STOP | NodeAction.KILL:
                 await node.restart(graceful=event.action is NodeAction.STOP)
+            case NodeAction.KILL_AGAIN:
+                for _ in range(2):
+                    await node.restart(graceful=False)
+                    await asyncio.sleep(KILL_INTERVAL_S)
 
     async def _run_abuse(self, abuse: AbusePlan) -> None:
         """Runs abusive clients in a process of their own."""
