--- a/harecross/policy/balancer.py
+++ b/harecross/policy/balancer.py
@@ -26,6 +26,7 @@
 from harecross.policy.fleet_limits import MIN_CONCURRENCY
 from harecross.policy.outcome_recorder import OutcomeRecorder
 from harecross.policy.outlier_detection import UNRESPONSIVE_RTTS, OutlierDetector
+from harecross.policy.per_try_timing import PerTryTiming
 from harecross.policy.records import Attempt, Request
 from harecross.policy.slow_start import SlowStart
 from harecross.policy.subset import Subset
@@ -34,13 +35,6 @@
 from harecross.policy.zone_preference import ZonePreference
 
 RETRY_BUDGET_RATIO = 0.1  # retries allowed for each first attempt
-# An attempt may be lost once it has taken the mean round-trip plus this many mean deviations.
-TIMEOUT_DEVIATIONS = 4
-# An attempt that has taken the mean round-trip plus this many mean deviations is lost even if its server has
-# answered no later attempt.
-LOST_DEVIATIONS = 8
-# Each tier below adds this many mean deviations to the per-try timeout, so that lower tiers give up first.
-DEVIATIONS_PER_TIER = 2
 MIN_OVER_QUOTA_WEIGHT = 0.5  # requests above a quota are shed at once if their weight is below this
 TIMER_QUEUED, TIMER_ATTEMPT = 2, 3  # values of the top byte of a timer's token
 TOKEN_BITS, ATTEMPT_BITS = 56, 8
@@ -68,7 +62,7 @@
         self.attempts = AttemptTable(controller, traffic)
         self.queue: deque[Request] = deque()
         self.retry_tokens = float(MIN_CONCURRENCY)
-        self.lower_tier_deviations = DEVIATIONS_PER_TIER * (settings.tiers - 1 - settings.tier)
+        self.per_try_timing = PerTryTiming(settings.tiers - 1 - settings.tier)
         # The reason of the last request that was shed or failed; the host reads it during that action.
         self.final_reason = FinalReason.NO_SERVER
         self.window_start = self.shed_requests = self.per_try_timeouts = 0
@@ -310,9 +304,8 @@
         self.actions.send(request.id, server.id, timeout)
         if repeatable:
             deviation = self.traffic.deviation[request.request_class]
-            full_wait = mean + (TIMEOUT_DEVIATIONS + self.lower_tier_deviations) * deviation
-            wait = min(full_wait, timeout - mean - deviation)
-            if wait >= full_wait / 2:
+            wait = self.per_try_timing.first_check(mean, deviation, timeout)
+            if wait is not None:
                 self._start_attempt_timer(request, wait)
 
     def _start_attempt_timer(self, request: Request, wait: float) -> None:
@@ -336,8 +329,7 @@
         mean = self.traffic.mean_rtt[request.request_class]
         deviation = self.traffic.deviation[request.request_class]
         answered = server.newest_answered_sent_at > request.sent_at + mean
-        longest = mean + (LOST_DEVIATIONS + self.lower_tier_deviations) * deviation
-        lost = answered or now - request.sent_at >= longest
+        lost = answered or self.per_try_timing.is_overdue(now - request.sent_at, mean, deviation)
         if lost and self.controller.late_fraction <= MAX_LATE_FRACTION and self.retry_tokens >= 1:
             self.retry_tokens -= 1
             self.per_try_timeouts += 1
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-from collections.abc import Callable, Sequence
-from contextlib import suppress
-from typing import Protocol, cast
+from typing import cast
 
 from harecross.dispatch.close_reasons import ClosedConnection, CloseReason
 from harecross.http.response_parser import ReadResult, ResponseParser
 from harecross.interface import Outcome
 from harecross.platform.clock import monotonic_us
-from harecross.platform.memory_ledger import READ_BYTES, MemoryLedger
+from harecross.platform.memory_ledger import READ_BYTES
 from harecross.upstream import duplicate_responses
-from harecross.upstream.duplicate_responses import ConnectionResponses, ResponseVariety, fingerprint
+from harecross.upstream.connection_owner import ConnectionOwner
+from harecross.upstream.duplicate_responses import ConnectionResponses, fingerprint
 from harecross.upstream.exchange import Exchange, HealthCheck
+from harecross.upstream.response_forwarding import ResponseForwarding
+from harecross.upstream.server_process import ServerProcess
 
 # A faulty server may send a second response a few milliseconds after the first. If it arrives while the connection is
 # idle, only the connection is lost, and not an exchange: `duplicate_responses` rejects it then. An idle connection is
@@ -23,104 +23,12 @@
 # `MAX_REUSE_DELAY_US`. This costs at most one additional connection for every `REUSE_DELAY_DIVISOR` connections in use.
 MAX_REUSE_DELAY_US = 20_000
 REUSE_DELAY_DIVISOR = 4
-# Discovery tells a change after 6 s at the latest; the rest is for its way to this node.
-LIST_LAG_US = 7_000_000
 # Every part of a response is copied before the next one is read, so all connections share one buffer. A client that
 # does not read leaves one such part in this process.
 READ_VIEW = memoryview(bytearray(READ_BYTES))
 
 
-class ServerProcess:
-    """One process of a server, as listed by discovery. A restarted server is a new process.
-
-    Attributes:
-        server: Number of the server.
-        started_at: Start time of the process, as listed by discovery.
-        in_service: Whether new exchanges may be sent to the process.
-        connection_count: Number of connections, including those that are being opened.
-        established: Number of connections that are open.
-        uncertain_until_us: Until when another process may have taken over the address without a word of discovery.
-        idle: Idle connections in order of last use, the most recently used last.
-    """
-
-    __slots__ = (
-        "connection_count",
-        "established",
-        "host",
-        "idle",
-        "in_service",
-        "port",
-        "server",
-        "started_at",
-        "uncertain_until_us",
-    )
-
-    def __init__(self, server: int, host: str, port: int, started_at: int) -> None:
-        self.server = server
-        self.host = host
-        self.port = port
-        self.started_at = started_at
-        self.in_service = True
-        self.connection_count = 0
-        self.established = 0
-        self.uncertain_until_us = 0
-        self.idle: list[ServerConnection] = []
-
-    def connection_broke(self, now: int) -> None:
-        """Notes that the process refused a connection, or ended its last one in disorder: it may be gone."""
-        if self.established == 0:
-            self.uncertain_until_us = now + LIST_LAG_US
-
-    def may_be_another(self, now: int) -> bool:
-        """Returns whether a new connection may reach another process than the one that discovery has listed."""
-        return now < self.uncertain_until_us
-
-    @property
-    def address(self) -> str:
-        """The address as `host:port`."""
-        return f"{self.host}:{self.port}"
-
-
-class ConnectionOwner(Protocol):
-    """The part of `ConnectionPool` that a connection uses."""
-
-    ledger: MemoryLedger
-    initial_buffer_bytes: int
-    stream_buffer_bytes: int
-    streaming: set[ServerConnection]
-    malformed_responses: int
-    responses_passed_on_early: int
-    response_variety: ResponseVariety
-    on_connection_closed: Callable[[ClosedConnection], None]
-
-    def record_load_report(self, text: bytes) -> Sequence[float]:
-        """Parses and counts a load report from a header or body; returns () if it is invalid."""
-
-    def resize_stream_buffers(self) -> None:
-        """Adapts the kernel's receive buffers to the number of streamed bodies."""
-
-    def held_response_bytes(self) -> int:
-        """Returns up to which size a response is held until it is complete, if it may not be streamed."""
-
-    def start_deadline_timer(self, exchange: Exchange) -> None:
-        """Schedules the abandonment of the exchange at its deadline."""
-
-    def start_hold_timer(self, connection: ServerConnection) -> asyncio.TimerHandle:
-        """Schedules that a response that has begun is passed on, if it is not complete by then."""
-
-    def release(self, connection: ServerConnection) -> None:
-        """Returns a connection to the pool for another exchange."""
-
-    def remove(self, connection: ServerConnection) -> None:
-        """Removes a closed connection from the pool."""
-
-    def finish(
-        self, exchange: Exchange, outcome: Outcome, body: bytes = b"", report: Sequence[float] = ()
-    ) -> None:
-        """Reports the outcome of the exchange."""
-
-
-class ServerConnection(asyncio.BufferedProtocol):
+class ServerConnection(ResponseForwarding):
     """A connection to one server process.
 
     Attributes:
@@ -154,9 +62,6 @@
         "parser",
         "pool",
         "process",
-        "progress_us",
-        "read_paused",
-        "receive_buffer_bytes",
         "response_us",
         "responses",
         "reusable_from_us",
@@ -331,23 +236,6 @@
         elif self.hold_timer is None and not parser.streaming and self.has_begun_response():
             self.hold_timer = self.pool.start_hold_timer(self)
 
-    def forward_body(self, parser: ResponseParser) -> bool:
-        """Forwards the received part of a streamed response; returns whether the exchange is still in progress."""
-        exchange = self.exchange
-        assert exchange is not None
-        self.progress_us = monotonic_us()
-        if not exchange.response_streamed:
-            fits = parser.expected_body_bytes() <= self.pool.held_response_bytes()
-            if fits and exchange.needs_whole_response():
-                return True  # the body stays in the parser until the response is complete
-            if not self.begin_streaming(exchange, parser):
-                return False
-        part = parser.read_body()
-        if part:
-            exchange.response_part(part)
-        # The exchange may have been abandoned because the write showed that the client has disconnected.
-        return self.exchange is exchange
-
     def begin_streaming(self, exchange: Exchange, parser: ResponseParser) -> bool:
         """Notifies the exchange that its response is streamed; returns whether the response is still needed."""
         if not exchange.response_started(parser.length, self.pool.record_load_report(parser.load_report)):
@@ -361,44 +249,6 @@
         self.set_receive_buffer(self.pool.stream_buffer_bytes)
         return True
 
-    def has_begun_response(self) -> bool:
-        """Returns whether a response of unknown length has begun that may still be passed on."""
-        if self.exchange is None or self.parser is None or self.exchange.response_streamed:
-            return False
-        return self.parser.begun_without_length and self.exchange.may_be_passed_on()
-
-    def pass_on_begun_response(self) -> bool:
-        """Passes on a response of unknown length that has begun; returns whether there is one.
-
-        It may be larger than what is timed as a whole, and its server may be writing it as it can.
-        """
-        if not self.has_begun_response():
-            return False
-        assert self.parser is not None
-        self.pool.responses_passed_on_early += 1
-        self.parser.start_streaming()
-        self.forward_body(self.parser)
-        return True
-
-    def set_receive_buffer(self, size: int) -> None:
-        """Sets the size of the kernel's receive buffer (SO_RCVBUF)."""
-        if self.transport is not None and size != self.receive_buffer_bytes:
-            self.receive_buffer_bytes = size
-            sock = self.transport.get_extra_info("socket")
-            with suppress(OSError):  # the kernel's default size is acceptable
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-
-    def set_read_paused(self, paused: bool) -> None:
-        """Pauses or resumes reading the response."""
-        if self.read_paused == paused or self.transport is None:
-            return
-        self.read_paused = paused
-        self.progress_us = monotonic_us()
-        if paused:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
-
     def settle(self) -> None:
         """Brings the account of the bytes that this connection holds up to date."""
         held = self.unsent_bytes() if self.write_blocked else 0
--- a/harecross/upstream/connection_pool.py
+++ b/harecross/upstream/connection_pool.py
@@ -11,7 +11,7 @@
 from typing import cast
 
 from harecross.dispatch.close_reasons import ClosedConnection, CloseReason
-from harecross.http.body_buffer import MAX_STREAM_BUFFER_BYTES, held_response_bytes, stream_buffer_bytes
+from harecross.http.body_buffer import MAX_STREAM_BUFFER_BYTES
 from harecross.http.request_parser import UPSTREAM_HOST
 from harecross.http.response_parser import parse_load_report, report_positions
 from harecross.interface import Outcome
@@ -21,21 +21,21 @@
 from harecross.platform.peer_state import has_no_pending_events
 from harecross.platform.system_errors import is_local_shortage
 from harecross.upstream import duplicate_responses
-from harecross.upstream.connection import ServerConnection, ServerProcess
+from harecross.upstream.connection import ServerConnection
 from harecross.upstream.duplicate_responses import ResponseVariety
 from harecross.upstream.exchange import NO_DEADLINE_US, Exchange, HealthCheck
+from harecross.upstream.server_process import ServerProcess
+from harecross.upstream.stream_buffers import StreamBuffers
 
 IDLE_MARGIN_US = 1_500_000  # an idle connection is closed this long before its server would close it
 DEFAULT_MEMORY_BUDGET_BYTES = 1 << 25
 DEFAULT_STREAMING_BUDGET_BYTES = 1 << 25  # shared by all streamed responses
-# The initial receive buffer of a connection assumes that one in this many descriptors carries a streamed response.
-STREAM_START_DIVISOR = 4
 # A response of unknown length that has begun is passed on after this time. Held back for 2 s, a large one is lost.
 MAX_HOLD_S = 1.0
 STALL_TIMEOUT_US = 6_000_000  # how long a server may neither read nor send a streamed body
 
 
-class ConnectionPool:
+class ConnectionPool(StreamBuffers):
     """The connections of this node to all servers.
 
     Attributes:
@@ -355,35 +355,6 @@
             connection.abandon_exchange(exchange)
         self.finish(exchange, outcome)
 
-    def set_streaming_budget(self, budget_bytes: int) -> None:
-        """Sets the memory budget shared by all streamed responses.
-
-        Buffers of responses in progress are adapted at the next sweep. The initial buffer of each connection is sized
-        as if one in `STREAM_START_DIVISOR` descriptors carried a streamed response, because many may start at the
-        same time.
-        """
-        if budget_bytes != self.streaming_budget_bytes:
-            self.streaming_budget_bytes = budget_bytes
-            self.initial_buffer_bytes = stream_buffer_bytes(
-                budget_bytes, self.descriptors.total // STREAM_START_DIVISOR
-            )
-
-    def resize_stream_buffers(self) -> None:
-        """Adapts the kernel's receive buffers to the number of streamed bodies if their size doubles or halves."""
-        buffer_bytes = stream_buffer_bytes(self.streaming_budget_bytes, len(self.streaming))
-        if self.stream_buffer_bytes // 2 < buffer_bytes < 2 * self.stream_buffer_bytes:
-            return
-        self.stream_buffer_bytes = buffer_bytes
-        for connection in self.streaming:
-            connection.set_receive_buffer(buffer_bytes)
-
-    def held_response_bytes(self) -> int:
-        """Returns up to which size a response is held until it is complete, if it may not be streamed.
-
-        All open connections together stay within the memory budget of streamed responses.
-        """
-        return held_response_bytes(self.streaming_budget_bytes, self.open_connections)
-
     def sweep(self) -> None:
         """Closes connections that were idle for too long, and those whose streamed body stalled at the server.
 
--- a/tests/stored_states.py
+++ b/tests/stored_states.py
@@ -52,7 +52,7 @@
 )
 from harecross.sources.cache_file import CachedSet, write_cache_file
 from harecross.store.store import Store
-from harecross.upstream.connection import ServerProcess
+from harecross.upstream.server_process import ServerProcess
 from harecross.xds.config import ClusterTable, ControlFile, ControlTable
 from harecross.xds.service import ControlService
 
