--- a/benchmarks/soak_mutations.py
+++ b/benchmarks/soak_mutations.py
@@ -117,8 +117,8 @@
     Mutation(
         "the time that a request lay unread is not counted",
         "downstream/read_delay.py",
-        "        bound = self.heartbeat.lag_us(now)\n",
-        "        return 0\n        bound = self.heartbeat.lag_us(now)\n",
+        "        lag = bound = self.heartbeat.lag_us(now)\n",
+        "        return 0\n        lag = bound = self.heartbeat.lag_us(now)\n",
     ),
     Mutation(
         "attempts go out for clients that have left",
--- a/harecross/policy/per_try_timing.py
+++ b/harecross/policy/per_try_timing.py
@@ -18,7 +18,7 @@
         self.lower_tier_deviations = DEVIATIONS_PER_TIER * lower_tiers
 
     def first_check(self, mean: float, deviation: float, timeout: float) -> float | None:
-        """Returns after which time an attempt may be lost; None if too little of its timeout would be left."""
+        """Returns after which time an attempt may be lost; None if too little of its timeout is left."""
         full_wait = mean + (TIMEOUT_DEVIATIONS + self.lower_tier_deviations) * deviation
         wait = min(full_wait, timeout - mean - deviation)
         return wait if wait >= full_wait / 2 else None
--- a/tests/test_node_attempts.py
+++ b/tests/test_node_attempts.py
@@ -18,7 +18,7 @@
 
 from harecross.interface import Outcome
 from harecross.platform.clock import monotonic_us
-from harecross.policy import balancer
+from harecross.policy import per_try_timing
 from harecross.policy.balancer import Balancer
 from harecross.policy.controller import GradientController
 
@@ -129,7 +129,7 @@
 
 def test_an_attempt_times_out_once_a_later_one_is_answered(monkeypatch):
     """The response to the later attempt ends the earlier one long before its own per-try timeout."""
-    monkeypatch.setattr(balancer, "LOST_DEVIATIONS", 10**6)
+    monkeypatch.setattr(per_try_timing, "LOST_DEVIATIONS", 10**6)
 
     async def test(env: NodeEnvironment) -> None:
         clients = [await env.client() for _ in "ab"]
