A broken response ends its client's connection although SO_LINGER cannot be set

Cause: the error of the option left send_failure before the connection was closed. Change: up to eight tries, and the close in any case.

--- a/harecross/downstream/response_sender.py
+++ b/harecross/downstream/response_sender.py
@@ -17,6 +17,8 @@
 LARGE_RESPONSE_BUFFER_BYTES = 1 << 16
 # A struct linger (see socket(7)) with a timeout of 0, so that closing the socket resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# The number of immediate attempts of a system call that fails because the machine is short of a resource.
+MAX_OPTION_TRIES = 8
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -62,10 +64,19 @@
             self.send_response(502, b"")
         elif self.transport is not None:
             self.set_response_paused = None
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.reset_on_close()
             self.abort(CloseReason.RESPONSE_ABORTED)
 
+    def reset_on_close(self) -> None:
+        """Makes the close of the connection reset it, unless the kernel keeps failing to set the option."""
+        if self.transport is None:
+            return
+        sock = self.transport.get_extra_info("socket")
+        for _ in range(MAX_OPTION_TRIES):
+            with suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                return
+
     def begin_response(self, length: int | None, set_paused: Callable[[bool], None]) -> None:
         """Sends the head of a streamed response. `set_paused` pauses or resumes reading it from the server."""
         self.set_response_paused = set_paused
--- a/tests/test_streamed_responses.py
+++ b/tests/test_streamed_responses.py
@@ -16,7 +16,7 @@
     server_that_sends,
 )
 
-from harecross.downstream import connection_manager, input_reader
+from harecross.downstream import connection_manager, input_reader, response_sender
 from harecross.http.body_buffer import (
     MAX_STREAM_BUFFER_BYTES,
     MIN_STREAM_BUFFER_BYTES,
@@ -275,3 +275,23 @@
         client.writer.close()
 
     run_with_peers(test, sends_large_response, sends_large_response)
+
+
+def test_a_broken_response_ends_its_connection_although_a_socket_option_cannot_be_set(monkeypatch):
+    """Guards against a client that waits for the rest of a response because setting SO_LINGER has failed."""
+
+    async def breaks_off(reader, writer) -> None:
+        await read_message(reader)
+        writer.write(RESPONSE_FRAMINGS["chunks"](LARGE_BODY)[:100_000])
+        await asyncio.sleep(0.1)
+        reset_connection(writer)
+
+    async def test(env) -> None:
+        client = await env.client()
+        client.send()
+        await client.reader.readuntil(b"\r\n\r\n")
+        monkeypatch.setattr(response_sender, "RESET_ON_CLOSE", b"")  # the kernel rejects it
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await client.reader.readexactly(1_000_000)
+
+    run_with_peers(test, breaks_off)
