A client that left while its connection waited in the backlog is not taken for connected

Cause: what the first read brought counted as fresh; the kernel's word on the age is of no use when more stood behind it, since reading lets the peer send. Change: such bytes count as old as they may be, and a client as connected that long ago. Evidence: the new test failed before.

--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -215,9 +215,9 @@
         """
         if self.transport is None or self.transport.is_closing() or peer_has_closed(self.descriptor):
             return Presence.CLOSED
-        if not self.reading_paused or self.sock is None:
-            return Presence.CONNECTED
         now = monotonic_us()
+        if self.sock is None or now - self.connected_at_us <= KNOWN_CONNECTED_US:
+            return Presence.CONNECTED
         if not close_may_be_hidden(self.sock, self.descriptor):
             self.connected_at_us = now
         elif self.transport.get_write_buffer_size() == 0 and unacknowledged_bytes(self.descriptor) == 0:
--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -49,12 +49,14 @@
         scheduler = self.owner.input_scheduler
         now = monotonic_us()
         self.read_at_us = now
-        self.read_delay_at_read_us = self.read_delay.measure(now, self.sock)
+        more_unread = nbytes == self.read_bytes
+        self.read_delay_at_read_us = self.read_delay.measure(now, self.sock, more_unread=more_unread)
         if self.body_arrival is not None:
             self.body_arrival.read(now)
         if not self.input_stale:
-            self.connected_at_us = now
-        elif nbytes < self.read_bytes:
+            # What was read may have waited in the backlog, or while the event loop lagged.
+            self.connected_at_us = now - self.read_delay_at_read_us
+        elif not more_unread:
             self.input_stale = False
         if scheduler.may_parse(self, now):
             self.parse(READ_VIEW[:nbytes], now)
--- a/harecross/downstream/read_delay.py
+++ b/harecross/downstream/read_delay.py
@@ -93,16 +93,20 @@
         self.heartbeat = heartbeat
         self.unread_interval = unread_interval
 
-    def measure(self, now: int, connection: TcpInfoSocket | None) -> int:
-        """Returns for how many microseconds the data read now may have been unread; 0 below `MIN_DELAY_US`."""
+    def measure(self, now: int, connection: TcpInfoSocket | None, *, more_unread: bool = False) -> int:
+        """Returns for how many microseconds the data read now may have been unread; 0 below `MIN_DELAY_US`.
+
+        `more_unread`: other data stood behind it, so that reading has let the peer send more, whose age the kernel
+        tells now.
+        """
         lag = bound = self.heartbeat.lag_us(now)
         interval, self.unread_interval = self.unread_interval, None
         if interval is not None:
             bound = max(bound, now - interval.earliest_arrival_us)
         if bound < MIN_DELAY_US:
             return 0
-        age = last_data_age(connection)
-        if age == UNKNOWN_AGE_US and interval is not None:
+        age = UNKNOWN_AGE_US if more_unread else last_data_age(connection)
+        if age == UNKNOWN_AGE_US and interval is not None and not more_unread:
             # Without the kernel's word, only bytes that are read soon have arrived before.
             read_soon = now - interval.reading_since_us < FIRST_BYTES_US + lag
             bound = bound if read_soon else lag
--- a/harecross/soak/planner.py
+++ b/harecross/soak/planner.py
@@ -277,9 +277,10 @@
         at = self._rng.uniform(3, self._end)
         # Clients keep sending until SIGKILL. A node is not migrated while it shuts down or in its first second.
         ended_at = at + (self._max_deadline + 0.7 if action is NodeAction.STOP else 0.0)
-        self._events = [event for event in self._events if not at - 0.2 < event.at < ended_at + 2.0]
         # A generator of its own, so that the draws that follow stay the same.
         in_series = action is NodeAction.KILL and Random(f"{at}/series").random() < KILL_SERIES_FRACTION
+        quiet_s = 5.0 if in_series else 2.0
+        self._events = [event for event in self._events if not at - 0.2 < event.at < ended_at + quiet_s]
         self._add(at, NodeAction.KILL_AGAIN if in_series else action)
         if self._rng.random() < 0.5:
             self._add(ended_at - 0.05, NodeAction.DISCOVERY_DOWN, self._rng.uniform(1.5, 3.0))
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -236,3 +236,20 @@
             task.cancel()
 
     run(test())
+
+
+def test_no_attempt_begins_for_a_client_that_left_while_its_connection_waited_in_the_backlog():
+    """Guards against bytes that count as fresh because their connection was accepted late."""
+
+    async def test(env: NodeEnvironment) -> None:
+        listener = env.node.client_connections.listener
+        assert listener is not None
+        listener.stop()
+        client = LeavingClient(env.node.address)
+        await client.write(GET % b"first" + BEHIND["an upload"])
+        client.sock.close()
+        await asyncio.sleep(SETTLE_S)
+        listener.start()
+        await no_further_request(env.upstreams)
+
+    run_with_node(test, servers=2)
