--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -71,7 +71,7 @@
     most one of them.
 
     Attributes:
-        budget_full_since: Since when no descriptor is left for the next connection; None while one is left.
+        budget_full_since: Since when connections have waited in the backlog for a descriptor; None while it is empty.
         ledger: The account of the bytes that the process holds.
         silent: Connections on which nothing has been received yet.
         receiving: Connections that have sent a request in part, or whose client does not read a response.
@@ -164,9 +164,7 @@
                 # It is unknown whether another connection is waiting, so no connection is evicted for it yet.
                 return BacklogState.MORE
             fits = fits or self.evict_one()
-            if fits:
-                self.budget_full_since = None
-            elif self.leave_in_backlog():
+            if not fits and self.leave_in_backlog():
                 return BacklogState.BLOCKED
             connection = self.listener.accept()
             if connection is AcceptFailure.CONNECTION_GONE:
@@ -174,6 +172,8 @@
             if connection is AcceptFailure.SHORTAGE:
                 return BacklogState.BLOCKED
             if isinstance(connection, AcceptFailure):
+                # Only an empty backlog tells that none has waited: places that become free now and then do not.
+                self.budget_full_since = None
                 return BacklogState.EMPTY
             if fits:
                 self.descriptor_budget.client_connections += 1
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -100,7 +100,6 @@
     Attributes:
         last_read_delay_us: How long the input that is parsed may have waited in the kernel and in this process.
         read_at_us: When the last input was read.
-        read_bytes: How many bytes were asked for then.
         read_delay_at_read_us: How long it may have waited in the kernel then, in microseconds.
         unparsed: Input that was read and waits for its share of a turn.
         turn_events: The number of messages and chunks that were begun in this turn.
@@ -142,7 +141,6 @@
         "read_delay",
         "last_read_delay_us",
         "read_at_us",
-        "read_bytes",
         "read_delay_at_read_us",
         "unparsed",
         "turn_events",
@@ -199,7 +197,6 @@
         self.read_delay = ReadDelay(owner.heartbeat, unread_interval)
         self.last_read_delay_us = 0
         self.read_at_us = 0
-        self.read_bytes = 0
         self.read_delay_at_read_us = 0
         self.unparsed: bytes = b""
         self.turn_events = 0
--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -36,8 +36,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
         """Called by the event loop before it reads."""
-        self.read_bytes = self.owner.ledger.read_bytes()
-        return READ_VIEW[: self.read_bytes]
+        return READ_VIEW[: self.owner.ledger.read_bytes()]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Called by the event loop when it has read: parses the input, or queues it if others have used up the turn."""
@@ -49,14 +48,13 @@
         scheduler = self.owner.input_scheduler
         now = monotonic_us()
         self.read_at_us = now
-        more_unread = nbytes == self.read_bytes
-        self.read_delay_at_read_us = self.read_delay.measure(now, self.sock, more_unread=more_unread)
+        self.read_delay_at_read_us = self.read_delay.measure(now, self.sock, self.descriptor)
         if self.body_arrival is not None:
             self.body_arrival.read(now)
         if not self.input_stale:
             # What was read may have waited in the backlog, or while the event loop lagged.
             self.connected_at_us = now - self.read_delay_at_read_us
-        elif not more_unread:
+        elif unread_bytes(self.descriptor) == 0:
             self.input_stale = False
         if scheduler.may_parse(self, now):
             self.parse(READ_VIEW[:nbytes], now)
--- a/harecross/downstream/read_delay.py
+++ b/harecross/downstream/read_delay.py
@@ -16,6 +16,7 @@
 from typing import Protocol
 
 from harecross.platform.clock import monotonic_us
+from harecross.platform.peer_state import unread_bytes
 
 HEARTBEAT_INTERVAL_S = 0.025
 LATE_HEARTBEAT_US = 10_000
@@ -93,11 +94,10 @@
         self.heartbeat = heartbeat
         self.unread_interval = unread_interval
 
-    def measure(self, now: int, connection: TcpInfoSocket | None, *, more_unread: bool = False) -> int:
+    def measure(self, now: int, connection: TcpInfoSocket | None, descriptor: int = -1) -> int:
         """Returns for how many microseconds the data read now may have been unread; 0 below `MIN_DELAY_US`.
 
-        `more_unread`: other data stood behind it, so that reading has let the peer send more, whose age the kernel
-        tells now.
+        If more is unread on `descriptor`, the kernel tells the age of that.
         """
         lag = bound = self.heartbeat.lag_us(now)
         interval, self.unread_interval = self.unread_interval, None
@@ -105,6 +105,7 @@
             bound = max(bound, now - interval.earliest_arrival_us)
         if bound < MIN_DELAY_US:
             return 0
+        more_unread = descriptor >= 0 and unread_bytes(descriptor) > 0
         age = UNKNOWN_AGE_US if more_unread else last_data_age(connection)
         if age == UNKNOWN_AGE_US and interval is not None and not more_unread:
             # Without the kernel's word, only bytes that are read soon have arrived before.
--- a/harecross/soak/clients.py
+++ b/harecross/soak/clients.py
@@ -110,9 +110,10 @@
             record.node, record.sent_at = self.process_name, time.monotonic()
             self._records.clients[record.id] = record
             connection[1].write(request_bytes(record, request_class))
-            if disconnect_after is not None and self._rng.random() < self._plan.unread_probability:
+            sends_more = disconnect_after is not None and self._rng.random() < self._plan.unread_probability
+            if sends_more:
                 connection[1].write(UNREAD_UPLOAD)
-            await self._receive(record, connection, disconnect_after)
+            await self._receive(record, connection, disconnect_after, keep=not sends_more)
             if record.outcome is ClientOutcome.DISCONNECTED:
                 self._repeat_later(record, request_class)
             if record.outcome is not ClientOutcome.CLOSED or record.new_connection:
@@ -160,9 +161,12 @@
         return None
 
     async def _receive(
-        self, record: ClientRecord, connection: Connection, disconnect_after: float | None
+        self, record: ClientRecord, connection: Connection, disconnect_after: float | None, *, keep: bool
     ) -> None:
-        """Waits for the response, or disconnects before it if the client is to disconnect."""
+        """Waits for the response, or disconnects before it if the client is to disconnect.
+
+        `keep`: the connection may be used again, as nothing else was sent on it.
+        """
         reader, writer = connection
         wait_s = disconnect_after if disconnect_after is not None else record.timeout + ANSWER_WAIT_S
         try:
@@ -176,7 +180,9 @@
                     record.size = len(await read_body(reader, head))
             record.outcome, record.status = ClientOutcome.ANSWERED, int(head.split(b" ")[1])
             record.ended_at = time.monotonic()
-            if b"connection: close" in head.lower():
+            if not keep:
+                writer.transport.abort()
+            elif b"connection: close" in head.lower():
                 writer.close()
             else:
                 self._idle.append(connection)
