--- a/harecross/soak/clients.py
+++ b/harecross/soak/clients.py
@@ -129,6 +129,8 @@
 
     async def _repeat(self, record: ClientRecord, request_class: ClassPlan, delay: float) -> None:
         await asyncio.sleep(delay)
+        if self.process_name != record.node:
+            return  # a process that starts again after a kill knows nothing of the one before
         try:
             reader, writer = await asyncio.open_connection(*self.address)
             record.repeated_at = time.monotonic()
--- a/tests/test_descriptor_budget.py
+++ b/tests/test_descriptor_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from hypothesis import given
@@ -10,7 +11,9 @@
 from node_support import Client, run_with_node, wait_until
 
 from harecross.downstream import connection_manager
+from harecross.downstream.connection_manager import BacklogState
 from harecross.platform.descriptor_budget import DescriptorBudget
+from harecross.platform.system_errors import AcceptFailure
 
 PARTIAL_HEAD = b"GET /read/1 HTTP/1.1\r\nX-Request-ID: r"
 
@@ -141,3 +144,50 @@
         assert len(env.node.client_connections.idle) == 6
 
     run_with_node(test)
+
+
+class Backlog:
+    """A listener with connections in its backlog, which are refused or set up."""
+
+    def __init__(self, connections: int) -> None:
+        self.waiting = [socket.socket() for _ in range(connections)]
+        self.accepted = 0
+
+    def accept(self) -> socket.socket | AcceptFailure:
+        """Returns the next connection."""
+        return self.waiting.pop() if self.waiting else AcceptFailure.NO_CONNECTION
+
+    def set_up(self, connection: socket.socket) -> None:
+        """Counts the connection."""
+        self.accepted += 1
+        connection.close()
+
+    def pause(self, seconds: float) -> None:
+        """Does nothing: the test calls again."""
+
+
+def test_connections_wait_no_longer_because_places_become_free_now_and_then(monkeypatch):
+    """Guards against a wait that begins anew with every place, so that the last in the queue are never answered."""
+    clock, places, tick_us, waiting = [0], [0], 50_000, 40
+    monkeypatch.setattr(connection_manager, "monotonic_us", lambda: clock[0])
+
+    def place_is_free() -> bool:
+        places[0] -= 1
+        return places[0] >= 0
+
+    async def test(env) -> None:
+        manager, backlog = env.node.client_connections, Backlog(waiting)
+        monkeypatch.setattr(manager, "listener", backlog)
+        monkeypatch.setattr(manager, "evict_one", lambda: False)
+        monkeypatch.setattr(DescriptorBudget, "client_connection_fits", lambda _: place_is_free())
+        while backlog.waiting:
+            places[0] = 1
+            while manager.accept() is BacklogState.MORE:
+                pass
+            clock[0] += tick_us
+        assert clock[0] <= connection_manager.DESCRIPTOR_WAIT_US + 4 * tick_us
+        assert 0 < backlog.accepted < waiting
+        assert backlog.accepted + manager.refused_connections == waiting
+        monkeypatch.undo()
+
+    run_with_node(test)
