The wait in the backlog counts until all that waited is read

Cause: only the first read after the accept counted as late; a head that two reads brought was parsed at the second, which counted as fresh. Change: while more is unread, the next read has waited as long. Evidence: the new test failed before.

--- a/harecross/downstream/read_delay.py
+++ b/harecross/downstream/read_delay.py
@@ -106,6 +106,8 @@
         if bound < MIN_DELAY_US:
             return 0
         more_unread = descriptor >= 0 and unread_bytes(descriptor) > 0
+        if more_unread:
+            self.unread_interval = interval  # the next read brings bytes that have waited as long
         age = UNKNOWN_AGE_US if more_unread else last_data_age(connection)
         if age == UNKNOWN_AGE_US and interval is not None and not more_unread:
             # Without the kernel's word, only bytes that are read soon have arrived before.
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -230,6 +230,19 @@
     assert late.measure(1_500_000, FakeSocket(None)) == 0, "bytes that arrive later have not waited"
 
 
+def test_a_wait_counts_until_all_that_waited_is_read():
+    """Guards against a head that two reads bring, of which the second counts as fresh."""
+    peer, own = socket.socketpair()
+    with peer, own:
+        peer.send(b"the rest")
+        interval = UnreadInterval(reading_since_us=1_000_000, earliest_arrival_us=600_000)
+        delay = ReadDelay(Heartbeat(), interval)
+        assert delay.measure(1_001_000, FakeSocket(300), own.fileno()) == 401 * MS
+        own.recv(100)
+        assert delay.measure(1_002_000, FakeSocket(300), own.fileno()) == 310 * MS
+        assert delay.measure(1_003_000, FakeSocket(300), own.fileno()) == 0
+
+
 @pytest.mark.parametrize(("age_ms", "delay_ms"), [(310, 320), (900, 460), (1, 11)])
 def test_the_kernel_tells_how_long_the_first_bytes_of_a_connection_have_waited(age_ms, delay_ms):
     """Guards against a wait in the backlog that is forgotten because the first read came late as well."""
