--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -245,6 +245,8 @@
 
     def settle(self) -> None:
         """Brings the account of the bytes that this connection holds up to date."""
+        if self.holds_nothing() and not (self.buffered_bytes or self.other_bytes):
+            return
         ledger = self.owner.ledger
         bodies, other = self.held_body_bytes(), self.held_other_bytes()
         if bodies == self.buffered_bytes and other == self.other_bytes:
@@ -254,6 +256,13 @@
         self.buffered_bytes, self.other_bytes = bodies, other
         ledger.note_peak()
 
+    def holds_nothing(self) -> bool:
+        """Returns whether this connection holds no bytes, as is usual between small requests."""
+        message = self.head_size or self.body or self.unparsed or self.pending
+        upload = self.incoming_upload or self.current_upload
+        body = self.request is not None and self.request.parsed.body
+        return not (message or upload or body or self.write_blocked or self.backlogged)
+
     def requests(self) -> list[ParsedRequest]:
         """Returns the request that is being handled, and those that wait."""
         waiting = [item for item in self.pending if isinstance(item, ParsedRequest)]
--- a/harecross/downstream/input_scheduler.py
+++ b/harecross/downstream/input_scheduler.py
@@ -93,6 +93,8 @@
         """Parses queued input, each connection's share at most once."""
         self.turn_scheduled = False
         self.spent_us = 0
+        if not self.moderate and not self.flooding:
+            return
         # A connection that exceeds its share moves to the other queue, and waits there for the next turn.
         queued_floods = len(self.flooding)
         self.run_queue(self.moderate, len(self.moderate), 0)
