A connection with rejected input is freed when it closes, not by the garbage collector

What operators saw: a process over its memory limit while a crowd wrote bad or too large input. Cause: feed_parser kept the inner exception in a local variable; its traceback refers back to that frame, so each rejected connection, its parser and its input lived in a cycle until 20,000 container objects had been made. Mend: the status is found in a function of its own, so that no frame that lives on refers to the exception.

--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -29,6 +29,16 @@
 READ_VIEW = memoryview(bytearray(READ_BYTES))
 
 
+def rejection_status(error: HttpParserError) -> int:
+    """Returns the status that answers an input error.
+
+    A caller with a local variable for the inner exception would be in a reference cycle with it, through its traceback.
+    """
+    # An exception raised in a callback is the context of the parser's exception.
+    inner = error.__context__
+    return inner.status if isinstance(inner, BadRequestError) else 400
+
+
 class InputReader(RequestReceiver):
     """The reading side of a client connection; implements `input_scheduler.InputSource`."""
 
@@ -112,9 +122,7 @@
         try:
             self.parser.feed_data(part)
         except HttpParserError as error:
-            # An exception raised in a callback is the context of the parser's exception.
-            inner = error.__context__
-            self.reject_input(inner.status if isinstance(inner, BadRequestError) else 400)
+            self.reject_input(rejection_status(error))
         except BadRequestError as error:
             self.reject_input(error.status)
         else:
