Input whose turn has not come stays in the kernel; a read takes a part of what is left

What operators saw: a process over its memory limit in the first turns after a crowd arrived. Reads were 64 or 16 KB however little was left. Mend: a connection whose turn has not come is read by 256 bytes, the least that the event loop can do, and the rest when its turn comes. A read takes a 64th of what is left of the budget, 2 KB to 64 KB. Tried: 256 bytes without reading on in the turn cost others p50 of 340 ms beside half heads; 2 KB a turn for connections over their share ended a sound chunked upload of 16 MB (test_begun_answers).

--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from abc import abstractmethod
+from contextlib import suppress
 
 from httptools import HttpParserError
 
@@ -12,7 +14,7 @@
 from harecross.downstream.request_receiver import RequestReceiver
 from harecross.http.request_parser import MAX_HEAD_BYTES, BadRequestError
 from harecross.platform.clock import monotonic_us
-from harecross.platform.memory_ledger import READ_BYTES
+from harecross.platform.memory_ledger import READ_BYTES, WAITING_READ_BYTES
 from harecross.platform.peer_state import unread_bytes
 
 # Input is parsed in parts that begin with this size. They grow while a part holds few messages or chunks.
@@ -45,8 +47,11 @@
     __slots__ = ()
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
-        """Called by the event loop before it reads."""
-        size = self.owner.ledger.read_bytes()
+        """Called by the event loop before it reads: what waits for its turn is left in the kernel."""
+        if self.input_closed or self.owner.input_scheduler.may_parse(self, monotonic_us()):
+            size = self.owner.ledger.read_bytes()
+        else:
+            size = WAITING_READ_BYTES
         return READ_VIEW if size == READ_BYTES else READ_VIEW[:size]
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -81,7 +86,26 @@
         if self.pending or self.parser is None or self.transport is None or self.input_closed:
             return
         unparsed, self.unparsed = self.unparsed, b""
-        self.parse(memoryview(unparsed), monotonic_us())
+        now = monotonic_us()
+        data = self.read_on(unparsed, now) if len(unparsed) <= WAITING_READ_BYTES else memoryview(unparsed)
+        self.parse(data, now)
+
+    def read_on(self, unparsed: bytes, now: int) -> memoryview:
+        """Returns `unparsed` and what has been waiting in the kernel behind it, as far as a share may take it.
+
+        An end of the stream is left to the event loop, which reads it when reading is resumed.
+        """
+        if not self.reading_paused:
+            return memoryview(unparsed)
+        begin = len(unparsed)
+        size = self.owner.ledger.read_bytes()
+        READ_VIEW[:begin] = unparsed
+        count = 0
+        with suppress(OSError):
+            count = os.readv(self.descriptor, [READ_VIEW[begin:size]])
+        if count and self.body_arrival is not None:
+            self.body_arrival.read(now)
+        return READ_VIEW[: begin + count]
 
     def parse(self, data: memoryview, now: int) -> None:
         """Parses the connection's share of a turn, keeps the rest, and handles the requests that are complete."""
--- a/harecross/platform/memory_ledger.py
+++ b/harecross/platform/memory_ledger.py
@@ -19,9 +19,12 @@
 UPLOAD_WINDOW_BYTES = 1 << 16
 SHORT_UPLOAD_WINDOW_BYTES = 1 << 14
 OPENING_UPLOAD_WINDOW_BYTES = 1 << 18
-# The largest part that is read from a connection at once, and while memory is short.
+# The bounds of what is read from a connection at once. Between them, a read takes this part of what is left.
 READ_BYTES = 1 << 16
-SHORT_READ_BYTES = 1 << 14
+MIN_READ_BYTES = 1 << 11
+READ_DIVISOR = 1 << 6
+# What is read from a connection whose turn has not come: the event loop does not read nothing.
+WAITING_READ_BYTES = 1 << 8
 
 
 class MemoryLedger:
@@ -72,10 +75,12 @@
         return fits
 
     def read_bytes(self) -> int:
-        """Returns how many bytes are read from a connection at once."""
+        """Returns how many bytes are read from a connection at once: the fewer, the less is left."""
         # Written out, because it is asked for before every read.
-        held = self.bodies + self.input + self.upstream
-        return SHORT_READ_BYTES if held * 8 > self.budget * SHORT_EIGHTHS else READ_BYTES
+        left = (self.budget - self.bodies - self.input - self.upstream) // READ_DIVISOR
+        if left >= READ_BYTES:
+            return READ_BYTES
+        return left if left > MIN_READ_BYTES else MIN_READ_BYTES
 
     def upload_window(self, *, opening: bool) -> int:
         """Returns how many bytes of an upload may wait; `opening` tells that no server takes any yet."""
