The budget for bytes is what the process leaves of its limit, checked against the kernel

What operators saw: a process over its memory limit beside half bodies and uploads. Mend: the size that the kernel tells (statm) is read whenever what is held and the connections have grown by a quarter of what is left, 32 to 256 KB; the budget is at most the limit less that size and 1.5 MB. Free memory is given back before anything is refused, at most every 20 ms. 512 KB are left for small requests in any case.

--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -126,12 +126,12 @@
 
     @property
     def max_buffered_body_bytes(self) -> int:
-        """The budget of the ledger, which bodies may not exceed together with all other bytes."""
-        return self.ledger.budget
+        """This process's share of the node's budget, which bodies may not exceed together with all other bytes."""
+        return self.ledger.share
 
     @max_buffered_body_bytes.setter
     def max_buffered_body_bytes(self, size: int) -> None:
-        self.ledger.budget = size
+        self.ledger.set_share(size)
 
     def listen(self, sock: socket.socket, backlog: int) -> None:
         """Opens the listener; connections stay in its backlog until `start_accepting` is called."""
@@ -293,11 +293,13 @@
     def connection_opened(self, connection: ConnectionState) -> None:
         """Adds a connection that was set up; it is silent until its first byte."""
         self.open.add(connection)
+        self.ledger.connection_opened()
         self.silent[connection] = monotonic_us()
 
     def connection_closed(self, connection: ConnectionState) -> None:
         """Removes a connection that was closed."""
         self.open.discard(connection)
+        self.ledger.connection_closed()
         self.descriptor_budget.client_connections -= 1
         self.unmark(connection)
         self.lingering.pop(connection, None)
--- a/harecross/node/composition.py
+++ b/harecross/node/composition.py
@@ -18,14 +18,17 @@
 from harecross.node.config import Config, ConfigError
 from harecross.node.handover_store import HandoverStore
 from harecross.node.membership import Membership
+from harecross.node.memory_control import MemoryControl
 from harecross.node.options import AdditionalSources, NodeOptions
 from harecross.node.resource_shares import ResourceShares, request_body_bytes
 from harecross.node.shared_ids import SharedIds
+from harecross.platform.allocator import FreeMemory
 from harecross.platform.descriptor_budget import DescriptorBudget
+from harecross.platform.process_memory import ResidentSize
 from harecross.upstream.connection_pool import ConnectionPool
 
-# Descriptors for connections that are about to be closed, two watches, the watches of earlier discoveries, and a file.
-RESERVED_DESCRIPTORS = MAX_ACCEPTS_PER_TURN + 8 + MAX_RETIRED_WATCHES
+# Descriptors for connections that are about to be closed, two watches, the watches of earlier discoveries, and files.
+RESERVED_DESCRIPTORS = MAX_ACCEPTS_PER_TURN + 9 + MAX_RETIRED_WATCHES
 ADMIN_DESCRIPTORS = MAX_ADMIN_CONNECTIONS + 4
 ADDITIONAL_SOURCES_DESCRIPTORS = 24  # for DNS servers, address files and the cache file
 MIN_CONNECTION_DESCRIPTORS = 16
@@ -50,6 +53,7 @@
     membership: Membership
     client_connections: ConnectionManager
     resource_shares: ResourceShares
+    memory_control: MemoryControl
     admin_operations: AdminOperations | None
     shared_ids: SharedIds | None
 
@@ -84,12 +88,22 @@
         open_attempt_log(config.name, options.attempt_log, dispatcher, registry)
     membership = build_membership(config, options, dispatcher, registry)
     client_connections, shares = build_client_connections(config, options, dispatcher, pool, budget)
+    memory_control = MemoryControl(pool.ledger, config.memory, ResidentSize().read, FreeMemory())
     operations, shared_ids = None, None
     if config.admin is not None:
         operations = build_admin_operations(config, options, registry, client_connections, membership)
         shared_ids = SharedIds(operations.store, dispatcher.remembered_ids)
     return NodeParts(
-        budget, pool, dispatcher, registry, membership, client_connections, shares, operations, shared_ids
+        budget,
+        pool,
+        dispatcher,
+        registry,
+        membership,
+        client_connections,
+        shares,
+        memory_control,
+        operations,
+        shared_ids,
     )
 
 
--- /dev/null
+++ b/harecross/node/memory_control.py
@@ -0,0 +1,65 @@
+"""Keeps the process within its memory limit: compares the ledger's budget with the size that the kernel tells."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from harecross.platform.allocator import FreeMemory
+from harecross.platform.clock import monotonic_us
+from harecross.platform.memory_ledger import MemoryLedger
+
+# What is not used of the limit: for objects of requests, and for what comes between two looks at the size.
+RESERVE_BYTES = 3 << 19
+# Free memory is given back to the system when less than this is left, at most once in the interval.
+GIVE_BACK_LEFT_BYTES = 1 << 20
+GIVE_BACK_INTERVAL_US = 20_000
+
+
+class MemoryControl:
+    """Adapts the budget of a ledger to the size of the process.
+
+    Attributes:
+        limit: How large this process may be, in bytes.
+        size: The size at the last check; 0 if the kernel does not tell.
+    """
+
+    def __init__(
+        self,
+        ledger: MemoryLedger,
+        limit: int,
+        read_size: Callable[[], int | None],
+        free_memory: FreeMemory,
+        monotonic: Callable[[], int] = monotonic_us,
+    ) -> None:
+        self.ledger = ledger
+        self.limit = limit
+        self.read_size = read_size
+        self.free_memory = free_memory
+        self.monotonic = monotonic
+        self.gave_back_at_us = 0
+        self.size = 0
+        ledger.on_growth = self.check
+
+    def check(self) -> None:
+        """Adapts the budget to the present size; gives free memory back first if little is left."""
+        left = self.left()
+        if left < GIVE_BACK_LEFT_BYTES and self.may_give_back():
+            self.free_memory.give_back()
+            left = self.left()
+        self.ledger.set_left(left)
+
+    def left(self) -> int:
+        """Returns by how many bytes the process may still grow."""
+        size = self.read_size()
+        if size is None:
+            return self.ledger.share
+        self.size = size
+        return self.limit - RESERVE_BYTES - size
+
+    def may_give_back(self) -> bool:
+        """Returns whether free memory may be given back now, which visits the whole heap."""
+        now = self.monotonic()
+        if now < self.gave_back_at_us + GIVE_BACK_INTERVAL_US:
+            return False
+        self.gave_back_at_us = now
+        return True
--- a/harecross/node/sweeper.py
+++ b/harecross/node/sweeper.py
@@ -6,7 +6,6 @@
 
 from harecross.node.composition import NodeParts
 from harecross.node.memory_report import memory_fields
-from harecross.platform.allocator import FreeMemory
 from harecross.platform.log import log_line
 
 SWEEP_INTERVAL_S = 0.25
@@ -27,7 +26,7 @@
         self.report_interval_s = report_interval_s
         self.reported_at = self.loop.time()
         self.event_loop_lag_s = 0.0
-        self.free_memory = FreeMemory()
+        self.free_memory = parts.memory_control.free_memory
 
     def start(self) -> None:
         """Schedules the next sweep; each sweep schedules the one after it."""
@@ -62,11 +61,12 @@
             self.event_loop_lag_s = 0.0
 
     def give_back_memory(self) -> None:
-        """Returns free memory to the system when much less is held than before."""
+        """Returns free memory to the system when much less is held than before, and adapts the budget."""
         ledger = self.parts.pool.ledger
         if ledger.peak - ledger.held >= GIVE_BACK_BYTES:
             ledger.peak = ledger.held
             self.free_memory.give_back()
+        self.parts.memory_control.check()
 
     def report(self) -> None:
         """Writes the report line."""
--- a/harecross/platform/memory_ledger.py
+++ b/harecross/platform/memory_ledger.py
@@ -8,6 +8,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+# What a client connection costs in objects of this process, without what is received on it.
+CONNECTION_BYTES = 3_500
+# What a header field costs beyond its bytes.
+HEADER_FIELD_BYTES = 140
+# The budget that is left when the process has already grown to its limit: small requests are served all the same.
+MIN_BUDGET_BYTES = 1 << 19
+# The bounds of how much more may be held before the size of the process is asked for again; between them, this part of
+# what is left.
+MIN_GROWTH_BYTES = 1 << 15
+MAX_GROWTH_BYTES = 1 << 18
+GROWTH_DIVISOR = 4
 # A body up to this size is refused only when the whole budget is used, so that large ones do not keep it out.
 SMALL_BODY_BYTES = 1 << 12
 # The parts of the budget, in eighths, from which memory is short, buffers are given back, and bodies are refused.
@@ -31,7 +44,10 @@
     """The bytes that a process holds.
 
     Attributes:
-        budget: The number of bytes that it may hold.
+        share: The number of bytes that this process may hold of what the node may.
+        budget: The number of bytes that it may hold now: its share, or less where the process itself has grown.
+        on_growth: Called when much more is held than at the last call of `set_left`, which it calls.
+        objects: What open connections cost; not a part of what is held.
         bodies: Bytes of request bodies, and of buffers of uploads.
         input: Bytes of heads, of input that is not parsed yet, and of responses that clients have not taken.
         upstream: Bytes of requests that servers have not taken, and of responses that are not passed on.
@@ -39,10 +55,24 @@
         refused: How many bodies were refused.
     """
 
-    __slots__ = ("bodies", "budget", "input", "peak", "refused", "upstream")
-
-    def __init__(self, budget: int) -> None:
-        self.budget = budget
+    __slots__ = (
+        "bodies",
+        "budget",
+        "grown_at",
+        "input",
+        "objects",
+        "on_growth",
+        "peak",
+        "refused",
+        "share",
+        "upstream",
+    )
+
+    def __init__(self, share: int) -> None:
+        self.share = self.budget = share
+        self.on_growth: Callable[[], None] | None = None
+        self.grown_at = 0
+        self.objects = 0
         self.bodies = 0
         self.input = 0
         self.upstream = 0
@@ -55,8 +85,31 @@
         return self.bodies + self.input + self.upstream
 
     def note_peak(self) -> None:
-        """Notes the present total, after bytes were added."""
-        self.peak = max(self.peak, self.held)
+        """Notes the present total, after bytes were added, and has the budget adapted if there are many."""
+        held = self.held
+        self.peak = max(self.peak, held)
+        if self.on_growth is not None and held + self.objects >= self.grown_at:
+            self.on_growth()
+
+    def set_share(self, share: int) -> None:
+        """Sets the share of this process; `set_left` lowers the budget below it if need be."""
+        self.share = self.budget = share
+
+    def set_left(self, left: int) -> None:
+        """Adapts the budget to the number of bytes by which the process may still grow."""
+        held = self.held
+        self.budget = min(self.share, max(MIN_BUDGET_BYTES, held + left))
+        growth = max(MIN_GROWTH_BYTES, min(MAX_GROWTH_BYTES, left // GROWTH_DIVISOR))
+        self.grown_at = held + self.objects + growth
+
+    def connection_opened(self) -> None:
+        """Counts the objects of a connection."""
+        self.objects += CONNECTION_BYTES
+        self.note_peak()
+
+    def connection_closed(self) -> None:
+        """No longer counts the objects of a connection."""
+        self.objects -= CONNECTION_BYTES
 
     def exceeds(self, eighths: int) -> bool:
         """Returns whether more than this part of the budget is used."""
--- a/harecross/platform/process_memory.py
+++ b/harecross/platform/process_memory.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import os
+from io import FileIO
 from pathlib import Path
 from typing import NamedTuple
 
+SIZES_PATH = "/proc/self/statm"
+MAX_SIZES_BYTES = 128
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 STATUS_PATH = Path("/proc/self/status")
 KILOBYTE = 1024
 
@@ -16,6 +21,25 @@
     peak: int
 
 
+class ResidentSize:
+    """Reads the resident size of this process, at the cost of one system call."""
+
+    def __init__(self) -> None:
+        try:
+            self.file: FileIO | None = FileIO(SIZES_PATH)
+        except OSError:
+            self.file = None
+
+    def read(self) -> int | None:
+        """Returns the resident size in bytes; None if the kernel does not tell."""
+        if self.file is None:
+            return None
+        try:
+            return int(os.pread(self.file.fileno(), MAX_SIZES_BYTES, 0).split()[1]) * PAGE_BYTES
+        except (OSError, ValueError, IndexError):
+            return None
+
+
 def parse_status(text: str) -> ResidentMemory:
     """Returns the resident memory that a status file tells (proc(5)); 0 for a value that it lacks."""
     fields = dict(line.split(":", 1) for line in text.splitlines() if ":" in line)
--- /dev/null
+++ b/tests/test_memory_control.py
@@ -0,0 +1,105 @@
+"""The budget for bytes follows the size of the process."""
+
+from __future__ import annotations
+
+import pytest
+
+from harecross.node.memory_control import GIVE_BACK_INTERVAL_US, RESERVE_BYTES, MemoryControl
+from harecross.platform.memory_ledger import (
+    CONNECTION_BYTES,
+    MAX_GROWTH_BYTES,
+    MIN_BUDGET_BYTES,
+    MemoryLedger,
+)
+from harecross.platform.process_memory import ResidentSize
+
+MB = 1 << 20
+LIMIT = 32 * MB
+SHARE = 8 * MB
+
+
+class Process:
+    """A process whose size, clock and free memory the test sets."""
+
+    def __init__(self, size: int | None) -> None:
+        self.size = size
+        self.free = 0
+        self.now = 0
+        self.trims = 0
+        self.ledger = MemoryLedger(SHARE)
+        self.control = MemoryControl(self.ledger, LIMIT, lambda: self.size, self, lambda: self.now)
+
+    def give_back(self) -> None:
+        """Replaces `FreeMemory.give_back`."""
+        self.trims += 1
+        assert self.size is not None
+        self.size -= self.free
+        self.free = 0
+
+
+def test_the_budget_is_what_the_process_leaves_of_the_limit():
+    """Guards against a budget that is a part of the limit, whatever the process takes itself."""
+    process = Process(26 * MB)
+    process.control.check()
+    assert process.ledger.budget == LIMIT - RESERVE_BYTES - 26 * MB
+    process.size = 10 * MB
+    process.control.check()
+    assert process.ledger.budget == SHARE
+
+
+def test_the_budget_shrinks_when_the_process_grows_more_than_the_account():
+    """Guards against bytes that are resident and in no account."""
+    process = Process(26 * MB)
+    process.control.check()
+    process.size += 3 * MB
+    process.ledger.bodies += MAX_GROWTH_BYTES
+    process.ledger.note_peak()
+    assert process.ledger.budget == MAX_GROWTH_BYTES + LIMIT - RESERVE_BYTES - 29 * MB
+
+
+def test_connections_without_input_have_the_budget_adapted():
+    """Guards against a crowd whose connections fill the process before its first bytes are read."""
+    process = Process(20 * MB)
+    process.control.check()
+    process.size = 28 * MB
+    for _ in range(MAX_GROWTH_BYTES // CONNECTION_BYTES + 1):
+        process.ledger.connection_opened()
+    assert process.ledger.budget == LIMIT - RESERVE_BYTES - 28 * MB
+    assert process.ledger.held == 0
+
+
+@pytest.mark.parametrize("size", [LIMIT, 2 * LIMIT])
+def test_a_process_that_is_over_its_limit_still_serves_small_requests(size):
+    """Guards against a node that refuses everything because its own size leaves nothing."""
+    process = Process(size)
+    process.control.check()
+    assert process.ledger.budget == MIN_BUDGET_BYTES
+    assert process.ledger.body_fits(1_000, 1_000)
+
+
+def test_free_memory_is_given_back_before_anything_is_refused_and_not_at_every_check():
+    """Guards against memory that is free and counts as taken, and against a visit of the heap at each look."""
+    process = Process(31 * MB)
+    process.now, process.free = GIVE_BACK_INTERVAL_US, 5 * MB
+    process.control.check()
+    assert process.ledger.budget == LIMIT - RESERVE_BYTES - 26 * MB
+    process.size = 31 * MB
+    process.control.check()
+    assert process.trims == 1
+    process.now += GIVE_BACK_INTERVAL_US
+    process.control.check()
+    assert process.trims == 2
+
+
+def test_the_share_is_the_budget_where_the_kernel_tells_no_size():
+    """Guards against a node that serves nothing on a system without /proc."""
+    process = Process(None)
+    process.control.check()
+    assert process.ledger.budget == SHARE
+
+
+def test_the_resident_size_is_that_of_this_process():
+    """Guards against a size in other units."""
+    size = ResidentSize().read()
+    assert size is not None
+    assert MB < size < 1 << 34
