Heads that are received count with all they take, and large ones wait for no memory

What operators saw: a process over its memory limit beside clients that stop within a head of many short fields.

--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -91,6 +91,7 @@
         """
         self.input_closed = True
         self.receiving = False
+        self.parser = None  # it buffers a part of the head
         self.release_message()
         self.owner.unmark(self)
         self.owner.count_bad_request(status)
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -19,7 +19,7 @@
 from harecross.downstream.read_delay import Heartbeat, ReadDelay, TcpInfoSocket, UnreadInterval
 from harecross.http.body_buffer import Upload
 from harecross.http.request_parser import ParsedRequest, RequestParser
-from harecross.platform.memory_ledger import MemoryLedger
+from harecross.platform.memory_ledger import HEADER_FIELD_BYTES, MemoryLedger
 
 # The timeout for each of: the first byte of a message after connecting, the end of the head after that, and the next
 # part of a body.
@@ -119,6 +119,7 @@
         discarded_bytes: The number of bytes received after the input was closed.
         close_reason: Why this side has closed the connection; None while it has not.
         receiving: A request has been received in part.
+        field_count: The number of header fields, also of those that are not kept in `headers`.
         unparsed_head_bytes: The number of head bytes buffered inside the parser. It is -1 until the read after the
             one that began the message, which is not counted.
         waited_for_server: Reading was paused until a server had consumed more of the body.
@@ -167,6 +168,7 @@
         "receiving",
         "url",
         "headers",
+        "field_count",
         "body",
         "head_size",
         "head_complete",
@@ -232,6 +234,7 @@
         """Resets the state of the request that is being received."""
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
+        self.field_count = 0
         self.body = b""
         self.head_size = 0
         self.head_complete = False
@@ -258,7 +261,7 @@
 
     def holds_nothing(self) -> bool:
         """Returns whether this connection holds no bytes, as is usual between small requests."""
-        message = self.head_size or self.body or self.unparsed or self.pending
+        message = self.head_size or self.unparsed_head_bytes > 0 or self.body or self.unparsed or self.pending
         upload = self.incoming_upload or self.current_upload
         body = self.request is not None and self.request.parsed.body
         return not (message or upload or body or self.write_blocked or self.backlogged)
@@ -289,7 +292,11 @@
     def held_other_bytes(self) -> int:
         """Returns the bytes of heads, unparsed input and responses that this connection holds."""
         unsent = self.unsent_bytes() if self.write_blocked or self.backlogged else 0
-        return len(self.unparsed) + self.head_size + unsent
+        return len(self.unparsed) + self.head_bytes() + unsent
+
+    def head_bytes(self) -> int:
+        """Returns what the head that is received takes: its bytes, in the parser or parsed, and its fields."""
+        return max(self.head_size, self.unparsed_head_bytes) + len(self.headers) * HEADER_FIELD_BYTES
 
     def unsent_bytes(self) -> int:
         """Returns the number of response bytes that the kernel has not accepted yet."""
@@ -314,6 +321,7 @@
         self.url = self.body = b""
         self.headers = []
         self.head_size = 0
+        self.unparsed_head_bytes = -1
 
     def drop_retained(self) -> None:
         """Drops the bytes that the current upload retains for another attempt."""
--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -24,6 +24,8 @@
 SLICE_GROWTH = 4
 # The number of messages and chunks after which a connection has parsed its share of a turn.
 EVENTS_PER_TURN = 32
+# A head up to this size is kept however little memory is left.
+SMALL_HEAD_BYTES = 1 << 11
 # The number of bytes that are read and discarded after the input was closed. Reading is paused beyond it.
 MAX_DISCARDED_BYTES = 1 << 18
 
@@ -56,7 +58,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Called by the event loop when it has read: parses the input, or queues it if others have used up the turn."""
-        if self.parser is None or self.transport is None:
+        if self.transport is None:
             return
         if self.input_closed:
             self.discard(nbytes, self.transport)
@@ -159,9 +161,14 @@
         self.last_data_us = monotonic_us()
         starts = self.unparsed_head_bytes < 0 or self.head_complete
         self.unparsed_head_bytes = 0 if starts else self.unparsed_head_bytes + size
-        if self.unparsed_head_bytes > MAX_HEAD_BYTES:
+        if self.unparsed_head_bytes > MAX_HEAD_BYTES or not self.head_fits(size):
             self.reject_input(431)
 
+    def head_fits(self, size: int) -> bool:
+        """Returns whether the last `size` bytes of a head that is still received may be kept."""
+        held = self.head_bytes()
+        return self.head_complete or held <= SMALL_HEAD_BYTES or self.owner.ledger.body_fits(size, held)
+
     def discard(self, size: int, transport: asyncio.Transport) -> None:
         """Discards data received after the input was closed; pauses reading beyond `MAX_DISCARDED_BYTES`."""
         self.discarded_bytes += size
--- a/harecross/downstream/request_receiver.py
+++ b/harecross/downstream/request_receiver.py
@@ -9,7 +9,13 @@
     Presence,
 )
 from harecross.http.body_buffer import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, Upload, has_too_many_chunks
-from harecross.http.request_parser import MAX_HEAD_BYTES, MAX_HEADERS, BadRequestError, ParsedRequest
+from harecross.http.request_parser import (
+    MAX_HEAD_BYTES,
+    MAX_HEADERS,
+    RELEVANT_HEADERS,
+    BadRequestError,
+    ParsedRequest,
+)
 from harecross.platform.clock import monotonic_us
 from harecross.platform.memory_ledger import RECLAIM_EIGHTHS
 
@@ -49,9 +55,11 @@
         self.count_head_bytes(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
         if self.head_complete:
             return
-        if len(self.headers) >= MAX_HEADERS:
+        self.field_count += 1
+        if self.field_count > MAX_HEADERS:
             raise BadRequestError(431)
-        self.headers.append((name, value.strip(b" \t")))
+        if name.lower() in RELEVANT_HEADERS:
+            self.headers.append((name, value.strip(b" \t")))
 
     def count_head_bytes(self, size: int) -> None:
         """Limits the memory that one head can use."""
--- a/harecross/http/request_parser.py
+++ b/harecross/http/request_parser.py
@@ -24,6 +24,8 @@
 )
 # Headers that may appear only once: of two values, this parser and the server could each use a different one.
 SINGLE_HEADERS = FORWARDED_HEADERS | {b"x-timeout", b"host", b"content-length", b"transfer-encoding"}
+# The headers that the node reads or forwards. Others are not kept.
+RELEVANT_HEADERS = SINGLE_HEADERS | {b"expect"}
 TOKEN_HEADERS = frozenset((b"x-request-id", b"idempotency-key"))
 
 
