A response is held once while it is received

Now the head is dropped when the body begins, parts are joined once, and bytes behind the message are found by their number. Reading on in a share notes the arrival of a body as resuming does.

--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -97,9 +97,10 @@
 
         An end of the stream is left to the event loop, which reads it when reading is resumed.
         """
-        if not self.reading_paused:
-            return memoryview(unparsed)
         begin = len(unparsed)
+        if not self.reading_paused or unread_bytes(self.descriptor) == 0:
+            return memoryview(unparsed)
+        self.note_arrival(begin)
         size = self.owner.ledger.read_bytes()
         READ_VIEW[:begin] = unparsed
         count = 0
@@ -210,13 +211,17 @@
     def resume_transport(self) -> None:
         """Resumes reading; data that arrived during the pause counts as delayed since the pause began."""
         if self.transport is not None:
-            if self.body_arrival is not None:
-                arrived = self.body_size + unread_bytes(self.descriptor)
-                self.body_arrival.resumed(monotonic_us(), Arrival(self.last_arrival_us(), arrived))
+            self.note_arrival(0)
             self.reading_paused = False
             self.read_delay.unread_interval = UnreadInterval(monotonic_us(), self.paused_at_us)
             self.transport.resume_reading()
 
+    def note_arrival(self, unparsed_size: int) -> None:
+        """Notes how much of a body had arrived, and when, before it is read on."""
+        if self.body_arrival is not None:
+            arrived = self.body_size + unparsed_size + unread_bytes(self.descriptor)
+            self.body_arrival.resumed(monotonic_us(), Arrival(self.last_arrival_us(), arrived))
+
     def limit_paused_upload(self) -> None:
         """Starts the timeout of the current request if its body is not being read."""
         upload = self.incoming_upload
--- a/harecross/http/response_parser.py
+++ b/harecross/http/response_parser.py
@@ -20,6 +20,8 @@
 
 MAX_HEAD_BYTES = 1 << 14
 MAX_HEADERS = 64
+# Parts of a body that are smaller are put together.
+MIN_PART_BYTES = 1 << 12
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before the final response
 # A body of unknown length is streamed once more than this was received.
 STREAMING_THRESHOLD_BYTES = 1 << 14
@@ -86,7 +88,9 @@
 
     Attributes:
         status: Status code; 0 before the head is complete.
-        body: Body bytes received and not yet taken by `read_body`.
+        body_parts: Body bytes received and not yet taken by `read_body`.
+        held_body_bytes: Their number.
+        body_start: Where the body starts in the bytes of the message; 0 while it is not known.
         body_size: Number of body bytes received.
         length: Value of Content-Length; None without that header.
         has_framing: Whether Content-Length or Transfer-Encoding determines the end of the body.
@@ -96,27 +100,31 @@
         reusable: Whether the connection may carry another exchange: no bytes beyond the response were received, and
             the server keeps it open.
         streaming: Whether the body is forwarded while it is received.
-        received: All bytes of a response that is not streamed.
+        head: The bytes received until it is known where the body starts.
+        message_bytes: The number of bytes received of a response that is not streamed, with its interim responses.
         unparsed_bytes: Bytes of a streamed response received since the last callback of the parser.
     """
 
     __slots__ = (
-        "body",
+        "body_parts",
         "body_size",
+        "body_start",
         "chunked",
         "chunks",
         "complete",
         "connection_close",
         "has_framing",
+        "head",
         "head_done",
         "head_size",
         "headers",
+        "held_body_bytes",
         "interim_responses",
         "length",
         "load_report",
+        "message_bytes",
         "not_processed",
         "parser",
-        "received",
         "reusable",
         "status",
         "streaming",
@@ -126,11 +134,14 @@
     def __init__(self) -> None:
         self.parser: HttpResponseParser | None = HttpResponseParser(self)
         self.status = 0
-        self.body: bytes = b""
+        self.body_parts: list[bytes] = []
+        self.held_body_bytes = 0
+        self.body_start = 0
         self.reusable = True
         self.complete = False
         self.interim_responses = 0
-        self.received: bytes = b""
+        self.head: bytes = b""
+        self.message_bytes = 0
         self.streaming = False
         self.unparsed_bytes = 0
         self.reset()
@@ -159,10 +170,7 @@
     def parse(self, data: bytes) -> ReadResult:
         """Parses received bytes, without closing the parser at the end of the response."""
         assert self.parser is not None
-        if self.streaming:
-            self.unparsed_bytes += len(data)
-        else:
-            self.received = self.received + data if self.received else data
+        self.begin_part(data)
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
@@ -170,17 +178,40 @@
             self.reusable = False
             return (
                 ReadResult.COMPLETE
-                if self.complete and self.trailing_bytes_are_separate()
+                if self.complete and self.trailing_bytes_are_separate(data)
                 else ReadResult.MALFORMED
             )
         if self.complete:
             return ReadResult.COMPLETE
-        # Limits the input for which the parser makes no callback, such as an endless header or chunk size.
+        if self.head_done and self.status >= 200:
+            self.release_head()
+        return ReadResult.MALFORMED if self.exceeds_limits() else ReadResult.INCOMPLETE
+
+    def begin_part(self, data: bytes) -> None:
+        """Counts received bytes, and keeps them while they may be a part of the head."""
+        if self.streaming:
+            self.unparsed_bytes += len(data)
+            return
+        self.message_bytes += len(data)
+        if self.body_start == 0:
+            self.head = self.head + data if self.head else data
+
+    def exceeds_limits(self) -> bool:
+        """Returns whether there is too much input for which the parser makes no callback, such as an endless head."""
         if self.streaming:
-            self.received = b""
-            return ReadResult.MALFORMED if self.unparsed_bytes > MAX_HEAD_BYTES else ReadResult.INCOMPLETE
-        limit = MAX_BUFFERED_RESPONSE_BYTES if self.head_done else MAX_HEAD_BYTES
-        return ReadResult.MALFORMED if len(self.received) > limit else ReadResult.INCOMPLETE
+            return self.unparsed_bytes > MAX_HEAD_BYTES
+        return self.message_bytes > (MAX_BUFFERED_RESPONSE_BYTES if self.head_done else MAX_HEAD_BYTES)
+
+    def release_head(self) -> None:
+        """Drops the bytes of the final head, once it is known where the body starts."""
+        if self.body_start == 0:
+            for _ in range(self.interim_responses + 1):
+                self.body_start = self.head.index(b"\r\n\r\n", self.body_start) + 4
+        self.head = b""
+
+    def held_bytes(self) -> int:
+        """Returns the number of bytes of the response that are held."""
+        return len(self.head) + self.held_body_bytes
 
     def feed_eof(self) -> ReadResult:
         """Handles the end of the stream (FIN), which completes a body that is delimited by the close."""
@@ -201,11 +232,20 @@
 
     def read_body(self) -> bytes:
         """Returns the body bytes received since the previous call."""
-        body, self.body = self.body, b""
+        body = self.body
+        self.body_parts = []
+        self.held_body_bytes = 0
         return body
 
-    def trailing_bytes_are_separate(self) -> bool:
-        """Returns whether the bytes after the message are not a part of its body.
+    @property
+    def body(self) -> bytes:
+        """The body bytes received and not yet taken by `read_body`."""
+        if len(self.body_parts) > 1:
+            self.body_parts = [b"".join(self.body_parts)]
+        return self.body_parts[0] if self.body_parts else b""
+
+    def trailing_bytes_are_separate(self, last: bytes) -> bool:
+        """Returns whether the bytes after the message are not a part of its body; `last` ends with them.
 
         If Content-Length is too small, a truncated body would be served as complete. Bytes after a valid response
         either start another message or end with an empty line; anything else is treated as the rest of the body.
@@ -213,10 +253,8 @@
         if self.chunked or self.streaming:
             # The last chunk marks the end of the body, or the body was already forwarded with the server's framing.
             return True
-        body_start = 0
-        for _ in range(self.interim_responses + 1):
-            body_start = self.received.index(b"\r\n\r\n", body_start) + 4
-        trailing = self.received[body_start + len(self.body) :]
+        self.release_head()
+        trailing = last[len(last) - (self.message_bytes - self.body_start - self.body_size) :]
         return trailing.startswith(b"HTTP/1.") or trailing.endswith(b"\r\n\r\n")
 
     def outcome(self) -> Outcome:
@@ -309,7 +347,11 @@
 
     def on_body(self, data: bytes) -> None:
         """See `HttpResponseParser`."""
-        self.body = self.body + data if self.body else data
+        if self.body_parts and len(data) < MIN_PART_BYTES and len(self.body_parts[-1]) < MIN_PART_BYTES:
+            self.body_parts[-1] += data
+        else:
+            self.body_parts.append(data)
+        self.held_body_bytes += len(data)
         self.body_size += len(data)
         self.unparsed_bytes = 0
         if self.body_size > MAX_BODY_BYTES:
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -267,7 +267,7 @@
 
     def held_response_bytes(self) -> int:
         """Returns the number of bytes of the response that are not passed on yet."""
-        return len(self.parser.received) + len(self.parser.body) if self.parser is not None else 0
+        return self.parser.held_bytes() if self.parser is not None else 0
 
     def rested(self, now: int) -> bool:
         """Returns whether the next response on this idle connection cannot be confused with an earlier one.
