Unread answers stay in the kernel, and requests behind them wait or are refused

What operators saw: a process over its memory limit beside clients that leave answers unread. Cause: an answer up to 64 KB that the kernel did not take was kept by this process for each client, in a copy with its head; eight pipelined requests of each client cost 6.8 MB that no account had. Mend: the send buffer of a connection takes a whole answer over 4 KB, as it did over 64 KB; head and body are written without a copy; while memory is short, the next request of a client waits until its last large answer is acknowledged; requests that wait count with 800 bytes each and get 503 when the budget is used up.

--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -118,6 +118,9 @@
     def handle_pending(self) -> None:
         """Handles pending requests in order."""
         while self.pending and not self.busy and not self.write_blocked and self.transport is not None:
+            if self.large_response and self.waits_for_reader():
+                self.owner.backlogged.add(self)
+                return
             item = self.pending[0]
             if isinstance(item, ParsedRequest):
                 presence = self.check_presence()
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -19,7 +19,8 @@
 from harecross.downstream.read_delay import Heartbeat, ReadDelay, TcpInfoSocket, UnreadInterval
 from harecross.http.body_buffer import Upload
 from harecross.http.request_parser import ParsedRequest, RequestParser
-from harecross.platform.memory_ledger import HEADER_FIELD_BYTES, MemoryLedger
+from harecross.platform.memory_ledger import HEADER_FIELD_BYTES, PENDING_REQUEST_BYTES, MemoryLedger
+from harecross.platform.peer_state import unacknowledged_bytes
 
 # The timeout for each of: the first byte of a message after connecting, the end of the head after that, and the next
 # part of a body.
@@ -114,6 +115,7 @@
         input_closed: No further request is parsed.
         write_blocked: The client does not read what was sent, so the write buffer is full.
         backlogged: The kernel has not accepted all of a large response.
+        large_response: A response that is not small was sent whole, and its client may not have read it.
         buffered_bytes: The number of body bytes in the ledger for this connection.
         other_bytes: The number of other bytes in the ledger for this connection.
         discarded_bytes: The number of bytes received after the input was closed.
@@ -159,6 +161,7 @@
         "paused_at_us",
         "write_blocked",
         "backlogged",
+        "large_response",
         "buffered_bytes",
         "other_bytes",
         "discarded_bytes",
@@ -216,6 +219,7 @@
         self.paused_at_us = 0
         self.write_blocked = False
         self.backlogged = False
+        self.large_response = False
         self.buffered_bytes = 0
         self.other_bytes = 0
         self.discarded_bytes = 0
@@ -292,7 +296,8 @@
     def held_other_bytes(self) -> int:
         """Returns the bytes of heads, unparsed input and responses that this connection holds."""
         unsent = self.unsent_bytes() if self.write_blocked or self.backlogged else 0
-        return len(self.unparsed) + self.head_bytes() + unsent
+        waiting = len(self.pending) * PENDING_REQUEST_BYTES
+        return len(self.unparsed) + self.head_bytes() + waiting + unsent
 
     def head_bytes(self) -> int:
         """Returns what the head that is received takes: its bytes, in the parser or parsed, and its fields."""
@@ -305,11 +310,19 @@
     def settle_backlog(self) -> None:
         """Brings the account up to date once the kernel has had the chance to accept a response."""
         self.backlogged = self.unsent_bytes() > 0
-        if self.backlogged:
+        if self.backlogged or (self.large_response and self.pending):
             self.owner.backlogged.add(self)
         else:
             self.owner.backlogged.discard(self)
         self.settle()
+        if self.large_response and self.pending:
+            self.handle_pending()
+
+    def waits_for_reader(self) -> bool:
+        """Returns whether further requests wait until the client has read a response, because memory is short."""
+        if self.large_response and unacknowledged_bytes(self.descriptor) in (0, None):
+            self.large_response = False
+        return self.large_response and self.owner.ledger.is_short
 
     def held_message_bytes(self) -> int:
         """Returns the bytes of unparsed input, heads and whole bodies that this connection holds."""
--- a/harecross/downstream/request_receiver.py
+++ b/harecross/downstream/request_receiver.py
@@ -17,7 +17,7 @@
     ParsedRequest,
 )
 from harecross.platform.clock import monotonic_us
-from harecross.platform.memory_ledger import RECLAIM_EIGHTHS
+from harecross.platform.memory_ledger import PENDING_REQUEST_BYTES, RECLAIM_EIGHTHS
 
 # The maximum number of pipelined requests on one connection. Clients send one request at a time.
 MAX_PENDING_REQUESTS = 8
@@ -177,6 +177,14 @@
                 # None of the discarded requests has been sent to a server.
                 self.pending.clear()
                 raise BadRequestError(400)
+            self.check_pending_memory()
+
+    def check_pending_memory(self) -> None:
+        """Refuses requests that wait behind another one when the budget is used up. Clients send one at a time."""
+        waits = self.busy or len(self.pending) > 1
+        if waits and not self.owner.ledger.body_fits(PENDING_REQUEST_BYTES, PENDING_REQUEST_BYTES):
+            self.pending.clear()
+            raise BadRequestError(503)
 
     def upload_complete(self, upload: Upload) -> None:
         """Finishes the upload of a large body that has been received completely."""
--- a/harecross/downstream/response_sender.py
+++ b/harecross/downstream/response_sender.py
@@ -9,7 +9,7 @@
 
 from harecross.dispatch.close_reasons import CloseReason
 from harecross.downstream.connection_state import ConnectionState
-from harecross.http.body_buffer import MAX_BUFFERED_BODY_BYTES, MAX_HELD_RESPONSE_BYTES
+from harecross.http.body_buffer import MAX_HELD_RESPONSE_BYTES
 from harecross.platform.clock import monotonic_us
 from harecross.platform.memory_ledger import SMALL_BODY_BYTES
 
@@ -41,8 +41,6 @@
     def finish_response(self, body: bytes) -> None:
         """Sends a whole response, or the end of a streamed one."""
         if self.set_response_paused is None:
-            if len(body) > MAX_BUFFERED_BODY_BYTES:
-                self.set_send_buffer(MAX_HELD_RESPONSE_BYTES)
             self.send_response(200, body)
             return
         self.set_response_paused = None
@@ -127,22 +125,30 @@
             self.request = None
             return
         closes = self.closes_after_response()
-        self.transport.write(
-            b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s\r\n%s"
-            % (
-                status,
-                REASON_PHRASES[status],
-                len(body),
-                b"Retry-After: %.3f\r\n" % (retry_after_us / 1e6) if retry_after_us else b"",
-                b"Connection: close\r\n" if closes else b"",
-                body,
-            )
+        head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s\r\n" % (
+            status,
+            REASON_PHRASES[status],
+            len(body),
+            b"Retry-After: %.3f\r\n" % (retry_after_us / 1e6) if retry_after_us else b"",
+            b"Connection: close\r\n" if closes else b"",
         )
         if len(body) > SMALL_BODY_BYTES:
-            # The event loop offers the response to the kernel at the end of this turn.
-            self.owner.loop.call_soon(self.settle_backlog)
+            self.send_large(head, body)
+        else:
+            self.transport.write(head + body)
         self.response_sent(closes=closes)
 
+    def send_large(self, head: bytes, body: bytes) -> None:
+        """Sends a whole response that the kernel may not take at once, without a copy of it."""
+        assert self.transport is not None
+        if not self.large_response:
+            self.set_send_buffer(MAX_HELD_RESPONSE_BYTES)
+        self.large_response = True
+        self.transport.write(head)
+        self.transport.write(body)
+        # The event loop offers the response to the kernel at the end of this turn.
+        self.owner.loop.call_soon(self.settle_backlog)
+
     def response_sent(self, *, closes: bool) -> None:
         """Continues with the connection after a response was written, or closes it."""
         self.responded_at_us = monotonic_us()
--- a/harecross/platform/memory_ledger.py
+++ b/harecross/platform/memory_ledger.py
@@ -14,6 +14,8 @@
 CONNECTION_BYTES = 3_500
 # What a header field costs beyond its bytes.
 HEADER_FIELD_BYTES = 140
+# What a request costs that waits for the one before it on its connection.
+PENDING_REQUEST_BYTES = 800
 # The budget that is left when the process has already grown to its limit: small requests are served all the same.
 MIN_BUDGET_BYTES = 1 << 19
 # The bounds of how much more may be held before the size of the process is asked for again; between them, this part of
