All processes of a node and the files of their folder count against its one memory limit

Mend: each process tells in TMPDIR (harecross-NAME.size-*) what it takes beyond pages of files; the others subtract it, and the blocks of all files there, from what is left. The file of an ended process is removed by the next look; lock files keep their format.

--- a/benchmarks/other_clients.py
+++ b/benchmarks/other_clients.py
@@ -27,7 +27,7 @@
 from harecross.platform.process_memory import ResidentMemory, parse_proportional_size, parse_status
 from harecross.soak.abusive_clients import KINDS, start_process
 from harecross.standins.cluster import NodeProcess, node_settings
-from harecross.standins.discovery import entry, update
+from harecross.standins.discovery import StandinDiscovery, entry, update
 from harecross.standins.http import answer, header, listen, read_message
 
 REQUEST_INTERVAL_S = 0.05
@@ -89,10 +89,6 @@
         writer.close()
 
 
-async def ignore(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answers nothing: the discovery of the node, which uses its configured list."""
-
-
 async def send_politely(address: tuple[str, int], outcome: Outcome, number: int) -> None:
     """Sends one request on a new connection and records what comes back."""
     began = time.monotonic()
@@ -136,14 +132,15 @@
     """Provides servers and a discovery; yields a folder and the configuration of a node that uses them."""
     listening = [await listen(serve) for _ in range(servers)]
     entries = [entry(f"s{i}", address) for i, (_, address) in enumerate(listening)]
-    discovery, discovery_address = await listen(ignore)
+    discovery = await StandinDiscovery().start()
+    discovery.put(*entries)
     with tempfile.TemporaryDirectory() as folder:
         yield (
             Path(folder),
             {
                 "name": "n0",
                 "listen": "127.0.0.1:0",
-                "discovery": discovery_address,
+                "discovery": discovery.address,
                 "seed": "1",
                 "limits": {"sockets": 1024, "memory_mb": memory_mb},
                 "known": update(41, *entries, reset=True),
@@ -152,7 +149,7 @@
         )
     for server, _ in listening:
         server.close()
-    discovery.close()
+    await discovery.stop()
 
 
 async def ask_politely(address: tuple[str, int], outcome: Outcome, seconds: float) -> None:
--- a/harecross/node/composition.py
+++ b/harecross/node/composition.py
@@ -20,6 +20,7 @@
 from harecross.node.membership import Membership
 from harecross.node.memory_control import MemoryControl
 from harecross.node.options import AdditionalSources, NodeOptions
+from harecross.node.process_sizes import ProcessSizes
 from harecross.node.resource_shares import ResourceShares, request_body_bytes
 from harecross.node.shared_ids import SharedIds
 from harecross.platform.allocator import FreeMemory
@@ -93,6 +94,7 @@
     if config.admin is not None:
         operations = build_admin_operations(config, options, registry, client_connections, membership)
         shared_ids = SharedIds(operations.store, dispatcher.remembered_ids)
+        memory_control.sizes = ProcessSizes(operations.store)
     return NodeParts(
         budget,
         pool,
--- a/harecross/node/handover_store.py
+++ b/harecross/node/handover_store.py
@@ -56,6 +56,8 @@
         self.ids_prefix = f"{stem}.ids-"
         token = secrets.token_hex(6)
         self.process_lock_path = Path(folder) / f"{self.process_lock_prefix}{token}" if folder else None
+        self.size_prefix = f"{stem}.size-"
+        self.size_path = Path(folder) / f"{self.size_prefix}{token}" if folder else None
         self.ids_path = Path(folder) / f"{self.ids_prefix}{token}" if folder else None
         self.list_path = Path(folder) / f"{stem}.list" if folder else None
         # Not the lock of the maintenance file, which is held while that is written to the disk.
--- a/harecross/node/memory_control.py
+++ b/harecross/node/memory_control.py
@@ -4,9 +4,11 @@
 
 from collections.abc import Callable
 
+from harecross.node.process_sizes import ProcessSizes
 from harecross.platform.allocator import FreeMemory
 from harecross.platform.clock import monotonic_us
 from harecross.platform.memory_ledger import MemoryLedger
+from harecross.platform.process_memory import ProcessSize
 
 # What is not used of the limit: for objects of requests, and for what comes between two looks at the size.
 RESERVE_BYTES = 3 << 19
@@ -19,15 +21,16 @@
     """Adapts the budget of a ledger to the size of the process.
 
     Attributes:
-        limit: How large this process may be, in bytes.
-        size: The size at the last check; 0 if the kernel does not tell.
+        limit: How large all processes of the node together may be, in bytes, with the files of their folder.
+        size: The size of this process at the last check; zeros if the kernel does not tell.
+        sizes: What the other processes of the node take; None if there can be none.
     """
 
     def __init__(
         self,
         ledger: MemoryLedger,
         limit: int,
-        read_size: Callable[[], int | None],
+        read_size: Callable[[], ProcessSize | None],
         free_memory: FreeMemory,
         monotonic: Callable[[], int] = monotonic_us,
     ) -> None:
@@ -37,7 +40,8 @@
         self.free_memory = free_memory
         self.monotonic = monotonic
         self.gave_back_at_us = 0
-        self.size = 0
+        self.size = ProcessSize(0, 0)
+        self.sizes: ProcessSizes | None = None
         ledger.on_growth = self.check
 
     def check(self) -> None:
@@ -48,13 +52,23 @@
             left = self.left()
         self.ledger.set_left(left)
 
+    def refresh(self) -> None:
+        """Adapts the budget to the sizes of all processes of the node."""
+        if self.sizes is not None:
+            self.sizes.refresh()
+        self.check()
+
     def left(self) -> int:
         """Returns by how many bytes the process may still grow."""
         size = self.read_size()
         if size is None:
             return self.ledger.share
         self.size = size
-        return self.limit - RESERVE_BYTES - size
+        others = 0
+        if self.sizes is not None:
+            self.sizes.tell(size.own)
+            others = self.sizes.others_bytes
+        return self.limit - RESERVE_BYTES - size.resident - others
 
     def may_give_back(self) -> bool:
         """Returns whether free memory may be given back now, which visits the whole heap."""
--- a/harecross/node/node.py
+++ b/harecross/node/node.py
@@ -100,6 +100,7 @@
         operations.store.refresh()
         operations.apply_maintenance()
         self.parts.divide_resources()
+        self.parts.memory_control.refresh()
         try:
             await operations.listen(address)
         except OSError as error:
@@ -152,6 +153,8 @@
     async def shut_down(self) -> None:
         """Shuts down gracefully. The admin server answers until the end."""
         await GracefulShutdown(self.config, self.options, self.parts).run()
+        if self.parts.memory_control.sizes is not None:
+            self.parts.memory_control.sizes.close()
         if self.admin_operations is not None:
             self.admin_operations.close()
         self.sweeper.report()
--- a/harecross/node/sweeper.py
+++ b/harecross/node/sweeper.py
@@ -66,7 +66,7 @@
         if ledger.peak - ledger.held >= GIVE_BACK_BYTES:
             ledger.peak = ledger.held
             self.free_memory.give_back()
-        self.parts.memory_control.check()
+        self.parts.memory_control.refresh()
 
     def report(self) -> None:
         """Writes the report line."""
--- a/harecross/platform/process_memory.py
+++ b/harecross/platform/process_memory.py
@@ -21,8 +21,20 @@
     peak: int
 
 
+class ProcessSize(NamedTuple):
+    """The size of this process in bytes.
+
+    Attributes:
+        resident: All of its pages in memory.
+        own: Those that no other process of the same program shares: all but pages of files.
+    """
+
+    resident: int
+    own: int
+
+
 class ResidentSize:
-    """Reads the resident size of this process, at the cost of one system call."""
+    """Reads the size of this process, at the cost of one system call."""
 
     def __init__(self) -> None:
         try:
@@ -30,13 +42,14 @@
         except OSError:
             self.file = None
 
-    def read(self) -> int | None:
-        """Returns the resident size in bytes; None if the kernel does not tell."""
+    def read(self) -> ProcessSize | None:
+        """Returns the size; None if the kernel does not tell."""
         if self.file is None:
             return None
         try:
-            return int(os.pread(self.file.fileno(), MAX_SIZES_BYTES, 0).split()[1]) * PAGE_BYTES
-        except (OSError, ValueError, IndexError):
+            _, resident, shared, *_ = map(int, os.pread(self.file.fileno(), MAX_SIZES_BYTES, 0).split())
+            return ProcessSize(resident * PAGE_BYTES, (resident - shared) * PAGE_BYTES)
+        except (OSError, ValueError):
             return None
 
 
--- a/tests/test_code_pages.py
+++ b/tests/test_code_pages.py
@@ -29,9 +29,9 @@
         "from harecross.platform.code_pages import release_code_pages\n"
         "from harecross.platform.process_memory import ResidentSize\n"
         "size = ResidentSize()\n"
-        "before = size.read()\n"
+        "before = size.read().resident\n"
         "assert release_code_pages() > 0\n"
-        "assert size.read() < before - (1 << 20)\n"
+        "assert size.read().resident < before - (1 << 20)\n"
         "assert json.loads(json.dumps(list(range(1000)))) == list(range(1000))\n"
         "ssl.create_default_context()\n"
     )
--- a/tests/test_memory_control.py
+++ b/tests/test_memory_control.py
@@ -4,14 +4,16 @@
 
 import pytest
 
+from harecross.node.handover_store import HandoverStore
 from harecross.node.memory_control import GIVE_BACK_INTERVAL_US, RESERVE_BYTES, MemoryControl
+from harecross.node.process_sizes import ProcessSizes
 from harecross.platform.memory_ledger import (
     CONNECTION_BYTES,
     MAX_GROWTH_BYTES,
     MIN_BUDGET_BYTES,
     MemoryLedger,
 )
-from harecross.platform.process_memory import ResidentSize
+from harecross.platform.process_memory import ProcessSize, ResidentSize
 
 MB = 1 << 20
 LIMIT = 32 * MB
@@ -27,7 +29,11 @@
         self.now = 0
         self.trims = 0
         self.ledger = MemoryLedger(SHARE)
-        self.control = MemoryControl(self.ledger, LIMIT, lambda: self.size, self, lambda: self.now)
+        self.control = MemoryControl(self.ledger, LIMIT, self.read_size, self, lambda: self.now)
+
+    def read_size(self) -> ProcessSize | None:
+        """Replaces `ResidentSize.read`."""
+        return None if self.size is None else ProcessSize(self.size, self.size)
 
     def give_back(self) -> None:
         """Replaces `FreeMemory.give_back`."""
@@ -102,4 +108,26 @@
     """Guards against a size in other units."""
     size = ResidentSize().read()
     assert size is not None
-    assert MB < size < 1 << 34
+    assert MB < size.own < size.resident < 1 << 34
+
+
+def test_all_processes_of_a_node_and_their_files_count(tmp_path):
+    """Guards against a second process that takes its share of a limit that the first one has used."""
+    processes = [Process(14 * MB), Process(10 * MB)]
+    for process in processes:
+        store = HandoverStore(str(tmp_path), "n0")
+        store.acquire_process_lock()
+        process.control.sizes = ProcessSizes(store)
+        process.control.refresh()
+    first, second = processes
+    assert second.control.left() <= LIMIT - RESERVE_BYTES - 24 * MB
+    first.control.refresh()
+    assert first.control.left() <= LIMIT - RESERVE_BYTES - 24 * MB
+    (tmp_path / "file").write_bytes(bytes(MB))
+    first.control.refresh()
+    assert first.control.left() <= LIMIT - RESERVE_BYTES - 25 * MB
+    assert second.control.sizes is not None
+    second.control.sizes.store.release_process_lock()
+    first.control.refresh()
+    assert first.control.left() > LIMIT - RESERVE_BYTES - 16 * MB
+    assert not list(tmp_path.glob("*.size-*"))[1:]
