A small body is not refused while a large one is held; over its budget a node sheds large ones

Cause: a budget used up by large bodies refused the small ones of other clients, and a budget that shrank under what was held had no effect until bodies ended. Mend: the largest bodies that are still received get 503 and a close first; none is complete, so no server runs its request. The test failed without the call in request_receiver.

--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -16,6 +16,7 @@
 from harecross.http.request_parser import RequestParser
 from harecross.platform.clock import monotonic_us
 from harecross.platform.descriptor_budget import DescriptorBudget
+from harecross.platform.memory_ledger import SMALL_BODY_BYTES
 from harecross.platform.system_errors import AcceptFailure
 
 IDLE_TIMEOUT_US = 5_000_000
@@ -341,6 +342,8 @@
 
     def sweep(self) -> None:
         """Closes connections whose timeouts have expired."""
+        if self.ledger.held > self.ledger.budget:
+            self.shed_large_bodies(self.ledger.held - self.ledger.budget)
         for connection in list(self.backlogged):
             connection.settle_backlog()
         # The event loop does not tell of a close while reading is paused.
@@ -382,6 +385,23 @@
             for connection in self.open:
                 connection.drop_retained()
 
+    def shed_large_bodies(self, size: int) -> int:
+        """Refuses large bodies that are received, the largest first, until `size` bytes are free; returns how many.
+
+        None of them is complete, so no server runs its request.
+        """
+        large = [(each.held_body_bytes(), each) for each in self.receiving]
+        large = [(held, each) for held, each in large if held > SMALL_BODY_BYTES and not each.input_closed]
+        freed = 0
+        for held, connection in sorted(large, key=lambda item: -item[0]):
+            if freed >= size:
+                break
+            freed += held
+            self.ledger.refused += 1
+            connection.reject_input(503)
+            connection.handle_pending()
+        return freed
+
     def close_idle(self) -> None:
         """Closes idle connections; silent ones are kept, because a request may be on its way."""
         for connection in list(self.idle):
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -92,6 +92,9 @@
     def reclaim_memory(self) -> None:
         """Drops what uploads retain for another attempt."""
 
+    def shed_large_bodies(self, size: int) -> int:
+        """Refuses large bodies that are received until `size` bytes are free; returns how many are."""
+
 
 class ConnectionState(asyncio.BufferedProtocol):
     """The attributes of one client connection.
@@ -371,6 +374,10 @@
     def check_presence(self) -> Presence:
         """Returns whether the client is still there; closes the connection if it has left."""
 
+    @abstractmethod
+    def reject_input(self, status: int) -> None:
+        """Stops handling input and answers with this status."""
+
     @abstractmethod
     def handle_pending(self) -> None:
         """Handles pending requests in order."""
--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-from abc import abstractmethod
 from contextlib import suppress
 
 from httptools import HttpParserError
@@ -250,7 +249,3 @@
             self.incoming_upload.length, self.body_size
         )
         return last_arrival_us if waiting_since_us is None else min(last_arrival_us, waiting_since_us)
-
-    @abstractmethod
-    def reject_input(self, status: int) -> None:
-        """Stops handling input and answers with this status."""
--- a/harecross/downstream/request_receiver.py
+++ b/harecross/downstream/request_receiver.py
@@ -17,7 +17,7 @@
     ParsedRequest,
 )
 from harecross.platform.clock import monotonic_us
-from harecross.platform.memory_ledger import PENDING_REQUEST_BYTES, RECLAIM_EIGHTHS
+from harecross.platform.memory_ledger import PENDING_REQUEST_BYTES, RECLAIM_EIGHTHS, SMALL_BODY_BYTES
 
 # The maximum number of pipelined requests on one connection. Clients send one request at a time.
 MAX_PENDING_REQUESTS = 8
@@ -142,7 +142,10 @@
         if self.owner.ledger.exceeds(RECLAIM_EIGHTHS):
             self.owner.reclaim_memory()
         added = 0 if self.incoming_upload is not None else size
-        if not self.owner.ledger.body_fits(added, self.body_size):
+        if self.owner.ledger.body_fits(added, self.body_size):
+            return
+        # A small body is not refused while any byte of a large one is held.
+        if self.body_size > SMALL_BODY_BYTES or not self.owner.shed_large_bodies(added):
             raise BadRequestError(503)
 
     def check_body_rate(self) -> None:
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -61,3 +61,22 @@
         assert memory.peak < MEMORY_MB << 20
 
     run(test())
+
+
+def test_a_small_body_is_taken_while_a_large_one_is_held():
+    """Guards against ordinary clients that are refused because others keep large bodies in the node."""
+
+    async def test(env: NodeEnvironment) -> None:
+        env.upstreams[0].answer_all()
+        ledger = env.node.client_connections.ledger
+        large = await env.client()
+        large.writer.write(upload_head("Content-Length: 60000").replace(b"/put/", b"/pay/") + bytes(50_000))
+        await wait_until(lambda: ledger.bodies >= 50_000)
+        env.node.client_connections.max_buffered_body_bytes = ledger.held
+        ledger.on_growth = None
+        small = await env.client()
+        small.send("/pay/1", body=bytes(1_000))
+        assert (await small.answer())[0] == 200
+        assert (await large.answer())[0] == 503
+
+    run_with_node(test)
