Log lines when memory becomes short; the report line has its memory near its start; soak at 32 to 192 MB

Cause: the report of the incident has no line before the kill, and its excerpts cut off the figures on memory at the end of the report line. Change: 'memory short' and 'memory no longer short' with limit, size, what is left and held by owner, connections and requests, at most one a second; a line at the start where the limit leaves less than the budget; memory_mb, resident_kb, left_kb, held_kb and clients follow 'open' in the report line, all other keys stay. The soak draws 32, 64, 96 or 192 MB and in half of the runs a crowd of 300 or 850 clients that make a node hold much; other draws of a seed stay as they were.

--- a/harecross/dispatch/dispatcher.py
+++ b/harecross/dispatch/dispatcher.py
@@ -83,18 +83,20 @@
         client_errors: Mapping[int, int] | None = None,
         closed_on_accept: int = 0,
         endpoint_list: Mapping[str, float] | None = None,
+        memory: Mapping[str, float] | None = None,
     ) -> None:
         """Logs the report line, with the counts and the state of the balancer.
 
         `client_errors` are the counts of requests answered without a server, by status. `closed_on_accept` is the
         number of client connections closed as soon as they were accepted. `endpoint_list` has figures on the age of
-        the endpoint list.
+        the endpoint list, and `memory` on what the process takes.
         """
         upstream = UpstreamCounts(
             self.pool.open_connections, self.pool.load_reports, self.pool.malformed_responses
         )
         clients = ClientCounts(client_errors or {}, closed_on_accept)
-        log_line(self.statistics.report_line(upstream, self.balancer.stats(), clients, endpoint_list or {}))
+        stats = self.balancer.stats()
+        log_line(self.statistics.report_line(upstream, stats, clients, endpoint_list or {}, memory))
 
     def may_send(self) -> bool:
         """Returns whether the endpoint list may be used to send requests."""
--- a/harecross/dispatch/statistics.py
+++ b/harecross/dispatch/statistics.py
@@ -58,13 +58,15 @@
         balancer: Mapping[str, float],
         clients: ClientCounts,
         endpoint_list: Mapping[str, float],
+        memory: Mapping[str, float] | None = None,
     ) -> str:
-        """Returns the report line as `key=value` pairs.
+        """Returns the report line as `key=value` pairs; `memory` comes early, where an excerpt still has it.
 
         Operators and their tools read the keys, so they stay the same when names in the code change.
         """
         fields: dict[str, float] = {answer.value: count for answer, count in self.final_answers.items()}
         fields["open"] = upstream.open_connections
+        fields.update(memory or {})
         fields["reports"] = upstream.load_reports
         fields["spoilt"] = upstream.malformed_responses
         fields.update(
--- a/harecross/node/memory_control.py
+++ b/harecross/node/memory_control.py
@@ -15,6 +15,8 @@
 # Free memory is given back to the system when less than this is left, at most once in the interval.
 GIVE_BACK_LEFT_BYTES = 1 << 20
 GIVE_BACK_INTERVAL_US = 20_000
+# The least time between two log lines about memory.
+LOG_INTERVAL_US = 1_000_000
 
 
 class MemoryControl:
@@ -23,6 +25,8 @@
     Attributes:
         limit: How large all processes of the node together may be, in bytes, with the files of their folder.
         size: The size of this process at the last check; zeros if the kernel does not tell.
+        is_short: Whether memory was short when that was logged last.
+        on_change: Called when memory becomes short or is no longer.
         sizes: What the other processes of the node take; None if there can be none.
     """
 
@@ -40,6 +44,9 @@
         self.free_memory = free_memory
         self.monotonic = monotonic
         self.gave_back_at_us = 0
+        self.logged_at_us = -LOG_INTERVAL_US
+        self.is_short = False
+        self.on_change: Callable[[], None] | None = None
         self.size = ProcessSize(0, 0)
         self.sizes: ProcessSizes | None = None
         ledger.on_growth = self.check
@@ -51,6 +58,18 @@
             self.free_memory.give_back()
             left = self.left()
         self.ledger.set_left(left)
+        short = left < GIVE_BACK_LEFT_BYTES or self.ledger.is_short
+        if short != self.is_short:
+            self.note_change(short=short)
+
+    def note_change(self, *, short: bool) -> None:
+        """Tells that memory has become short, or is no longer; a change soon after another one is told later."""
+        now = self.monotonic()
+        if now >= self.logged_at_us + LOG_INTERVAL_US:
+            self.logged_at_us = now
+            self.is_short = short
+            if self.on_change is not None:
+                self.on_change()
 
     def refresh(self) -> None:
         """Adapts the budget to the sizes of all processes of the node."""
--- a/harecross/node/node.py
+++ b/harecross/node/node.py
@@ -11,6 +11,7 @@
 from harecross.node.composition import build_parts
 from harecross.node.config import Config, ConfigError, bind_socket
 from harecross.node.graceful_shutdown import GracefulShutdown
+from harecross.node.memory_report import log_memory_at_start, log_memory_state
 from harecross.node.options import NodeOptions
 from harecross.node.reload import reload_configuration
 from harecross.node.sweeper import Sweeper
@@ -43,6 +44,7 @@
         self.discovery = parts.membership.discovery
         self.client_connections = parts.client_connections
         self.admin_operations = parts.admin_operations
+        parts.memory_control.on_change = lambda: log_memory_state(parts)
         self.sweeper = Sweeper(parts, options.report_interval_s)
         self.address: tuple[str, int] = ("", 0)
         self.started = asyncio.Event()
@@ -145,6 +147,8 @@
         gc.freeze()
         release_code_pages()
         gc.set_threshold(*GC_THRESHOLDS)
+        self.parts.memory_control.refresh()
+        log_memory_at_start(self.parts)
         if self.admin_operations is not None:
             self.admin_operations.node_started()
         log_line(f"listening on {self.address[0]}:{self.address[1]}")
--- a/harecross/node/sweeper.py
+++ b/harecross/node/sweeper.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from harecross.node.composition import NodeParts
-from harecross.node.memory_report import memory_fields
+from harecross.node.memory_report import leading_memory_fields, memory_fields
 from harecross.platform.log import log_line
 
 SWEEP_INTERVAL_S = 0.25
@@ -81,4 +81,7 @@
         fields["memory_returned"] = self.free_memory.trims
         fields["input_deferred"] = connections.input_scheduler.deferred
         fields["input_over_share"] = connections.input_scheduler.floods
-        self.parts.dispatcher.report(connections.bad_requests, connections.refused_connections, fields)
+        memory = leading_memory_fields(self.parts)
+        self.parts.dispatcher.report(
+            connections.bad_requests, connections.refused_connections, fields, memory
+        )
--- a/harecross/soak/planner.py
+++ b/harecross/soak/planner.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from random import Random
 
-from harecross.soak.abusive_clients import KINDS
+from harecross.soak.abusive_clients import HOARDING_KINDS
 from harecross.soak.plan import (
     AbusePlan,
     ClassPlan,
@@ -44,6 +44,20 @@
 KILL_SERIES_FRACTION = 0.5
 # Fraction of the runs without abusive clients.
 ABUSE_FREE_FRACTION = 1 / 3
+# Fraction of the runs with a crowd that makes a node hold much, besides other abusive clients.
+CROWD_FRACTION = 0.5
+# Kinds of which a run has a few clients or many; in a fixed order, so that a seed gives the same plan every time.
+SINGLE_KINDS = (
+    "departures",
+    "half heads",
+    "half small bodies",
+    "half uploads",
+    "half uploads of one id",
+    "health checks",
+    "slow readers",
+    "tiny chunks",
+    "unsound requests",
+)
 # Kinds of abusive clients of which a few are enough.
 FLOODS = frozenset(("health checks", "unsound requests", "tiny chunks"))
 ACCEPT_ERRORS = [errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EPROTO]
@@ -117,8 +131,11 @@
         call_faults={node: draw_call_faults(rng, seed, node, duration, emphasis) for node in nodes},
         clock_steps={node: draw_clock_steps(rng, duration) for node in nodes},
         link_faults=draw_link_faults(Random(f"{seed}/links"), names, duration),
-        memory_mb=Random(f"{seed}/memory").choice([192, 96]),
-        abuse=draw_abuse(Random(f"{seed}/abuse"), nodes, duration),
+        memory_mb=Random(f"{seed}/limit").choice([32, 64, 96, 192]),
+        abuse=(
+            *draw_abuse(Random(f"{seed}/abuse"), nodes, duration),
+            *draw_crowd(Random(f"{seed}/crowd"), nodes, duration),
+        ),
         repeat_probability=Random(f"{seed}/repeats").choice([0.0, 0.5, 1.0]),
         unread_probability=Random(f"{seed}/unread").choice([0.0, 0.5]),
         late_answer_probability=Random(f"{seed}/late").choice([0.0, 0.03, 0.1]),
@@ -132,9 +149,18 @@
     return tuple(draw_abusive_clients(rng, rng.choice(nodes), duration) for _ in range(rng.randint(1, 2)))
 
 
+def draw_crowd(rng: Random, nodes: tuple[str, ...], duration: float) -> tuple[AbusePlan, ...]:
+    """Draws hundreds of clients that make a node hold much for each of them, in some of the runs."""
+    if rng.random() >= CROWD_FRACTION:
+        return ()
+    kind = rng.choice([*HOARDING_KINDS, "mix"])
+    start = rng.uniform(0.5, duration - QUIET_END_S)
+    return (AbusePlan(rng.choice(nodes), kind, start, rng.uniform(2.0, 5.0), rng.choice([300, 850])),)
+
+
 def draw_abusive_clients(rng: Random, node: str, duration: float) -> AbusePlan:
     """Draws the abusive clients of one kind."""
-    kind = rng.choice(sorted(KINDS))
+    kind = rng.choice(SINGLE_KINDS)
     clients = rng.choice([1, 2, 6]) if kind in FLOODS else rng.choice([40, 200, 800])
     start = rng.uniform(1, duration - QUIET_END_S)
     return AbusePlan(node, kind, start, rng.uniform(2.0, 5.0), clients)
--- a/tests/test_memory_control.py
+++ b/tests/test_memory_control.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 import pytest
+from node_support import NodeEnvironment, run_with_node
 
 from harecross.node.handover_store import HandoverStore
-from harecross.node.memory_control import GIVE_BACK_INTERVAL_US, RESERVE_BYTES, MemoryControl
+from harecross.node.memory_control import (
+    GIVE_BACK_INTERVAL_US,
+    LOG_INTERVAL_US,
+    RESERVE_BYTES,
+    MemoryControl,
+)
+from harecross.node.memory_report import log_memory_at_start, log_memory_state
 from harecross.node.process_sizes import ProcessSizes
 from harecross.platform.memory_ledger import (
     CONNECTION_BYTES,
@@ -131,3 +138,39 @@
     first.control.refresh()
     assert first.control.left() > LIMIT - RESERVE_BYTES - 16 * MB
     assert not list(tmp_path.glob("*.size-*"))[1:]
+
+
+def test_a_change_of_short_memory_is_told_at_most_once_a_second():
+    """Guards against a log without a line before a kill, and against one that a crowd fills."""
+    process = Process(20 * MB)
+    told: list[bool] = []
+    process.control.on_change = lambda: told.append(process.control.is_short)
+    process.control.check()
+    assert told == []
+    process.size = 30 * MB
+    process.control.check()
+    process.size = 20 * MB
+    process.control.check()
+    assert told == [True]
+    process.now += LOG_INTERVAL_US
+    process.control.check()
+    assert told == [True, False]
+
+
+def test_the_log_tells_what_takes_the_memory(capsys):
+    """Guards against a report of a killed process that does not tell what took its memory."""
+
+    async def test(env: NodeEnvironment) -> None:
+        parts = env.node.parts
+        parts.memory_control.is_short = True
+        log_memory_state(parts)
+        parts.memory_control.limit = MB
+        log_memory_at_start(parts)
+        env.node.sweeper.report()
+
+    run_with_node(test)
+    lines = capsys.readouterr().err.splitlines()
+    assert any("memory short: memory_mb=" in each and "held_bodies_kb=0" in each for each in lines)
+    assert any("memory_mb=1: " in each and "only small ones are served" in each for each in lines)
+    report = next(each for each in lines if " served=" in each)
+    assert report.index("resident_kb=") < report.index("reports=") < 200
