A trailer or chunk extension without end is refused

What callers see: one client that writes a trailer without end makes the process grow as fast as it writes (13 MB and 51 MB resident at 32 MB within 3 s, where the copying of the parser had become the limit). Cause: the parser calls back at the end of a field only, and the check of bytes without a callback began anew with each slice once the head was complete. Mend: it begins anew with each callback of a body, a chunk or a trailer; 16 KB and one slice are the most that is kept, and less where the budget does not allow it. Tests: trailer and chunk extension failed before; sound trailers of 9 and 15 KB pass.

--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -125,8 +125,8 @@
         close_reason: Why this side has closed the connection; None while it has not.
         receiving: A request has been received in part.
         field_count: The number of header fields, also of those that are not kept in `headers`.
-        unparsed_head_bytes: The number of head bytes buffered inside the parser. It is -1 until the read after the
-            one that began the message, which is not counted.
+        unparsed_head_bytes: The number of bytes of a head, or of a chunk's size or a trailer, that may be buffered
+            inside the parser. It is -1 until the slice after the one that began it, which is not counted.
         waited_for_server: Reading was paused until a server had consumed more of the body.
         body_arrival: The arrival of a body that waited for its server; None while it has not.
         expects_continue: The client waits for `100 Continue` before it sends the body.
--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -157,17 +157,16 @@
         return not self.input_closed
 
     def limit_unparsed_head(self, size: int) -> None:
-        """Rejects a head of which the parser buffers too many bytes without calling back."""
+        """Rejects a head, or a field behind a body, of which the parser buffers too many bytes without calling back."""
         self.last_data_us = monotonic_us()
-        starts = self.unparsed_head_bytes < 0 or self.head_complete
-        self.unparsed_head_bytes = 0 if starts else self.unparsed_head_bytes + size
+        self.unparsed_head_bytes = 0 if self.unparsed_head_bytes < 0 else self.unparsed_head_bytes + size
         if self.unparsed_head_bytes > MAX_HEAD_BYTES or not self.head_fits(size):
             self.reject_input(431)
 
     def head_fits(self, size: int) -> bool:
-        """Returns whether the last `size` bytes of a head that is still received may be kept."""
-        held = self.head_bytes()
-        return self.head_complete or held <= SMALL_HEAD_BYTES or self.owner.ledger.body_fits(size, held)
+        """Returns whether the last `size` bytes of a head, or of a field behind a body, may be kept."""
+        held = self.unparsed_head_bytes if self.head_complete else self.head_bytes()
+        return held <= SMALL_HEAD_BYTES or self.owner.ledger.body_fits(size, held)
 
     def discard(self, size: int, transport: asyncio.Transport) -> None:
         """Discards data received after the input was closed; pauses reading beyond `MAX_DISCARDED_BYTES`."""
--- a/harecross/downstream/request_receiver.py
+++ b/harecross/downstream/request_receiver.py
@@ -54,6 +54,7 @@
         """Called with a header, or with a trailer, which is ignored."""
         self.count_head_bytes(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
         if self.head_complete:
+            self.unparsed_head_bytes = -1
             return
         self.field_count += 1
         if self.field_count > MAX_HEADERS:
@@ -71,6 +72,7 @@
         """Checks the head, and starts an upload at once if the body is large."""
         assert self.parser is not None
         self.head_complete = True
+        self.unparsed_head_bytes = -1
         if self.parser.should_upgrade():
             # After CONNECT or Upgrade the parser would treat the body as data of another protocol.
             raise BadRequestError(400)
@@ -108,12 +110,14 @@
     def on_chunk_header(self) -> None:
         """Limits the number of chunks of a body."""
         self.turn_events += 1
+        self.unparsed_head_bytes = -1
         self.chunk_count += 1
         if has_too_many_chunks(self.chunk_count, self.body_size):
             raise BadRequestError(413)
 
     def on_body(self, data: bytes) -> None:
         """Called with a part of the body; buffers it or passes it to the upload."""
+        self.unparsed_head_bytes = -1
         self.body_size += len(data)
         if self.body_size > MAX_BODY_BYTES:
             raise BadRequestError(413)
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -80,3 +80,33 @@
         assert (await large.answer())[0] == 503
 
     run_with_node(test)
+
+
+@pytest.mark.parametrize("silent", [b"0\r\nt: ", b"1;"], ids=["trailer", "chunk extension"])
+def test_a_field_without_end_behind_a_body_is_refused(silent):
+    """Guards against bytes without limit that the parser keeps of a trailer or a chunk extension."""
+
+    async def test(env: NodeEnvironment) -> None:
+        client = await env.client()
+        head = upload_head("Transfer-Encoding: chunked").replace(b"/put/", b"/pay/")
+        client.writer.write(head + b"1\r\nx\r\n" + silent)
+        await asyncio.sleep(0.05)
+        client.writer.write(b"x" * 200_000)
+        assert (await client.answer())[0] in (400, 413, 431)
+
+    run_with_node(test)
+
+
+@pytest.mark.parametrize("size", [9_000, 15_000])
+def test_a_sound_trailer_is_accepted(size):
+    """Guards against a limit on trailers that counts the body before them."""
+
+    async def test(env: NodeEnvironment) -> None:
+        env.upstreams[0].answer_all()
+        client = await env.client()
+        head = b"POST /pay/1 HTTP/1.1\r\nX-Request-ID: r\r\nX-Timeout: 900m\r\nTransfer-Encoding: chunked\r\n\r\n"
+        body = b"%x\r\n%s\r\n" % (20_000, bytes(20_000))
+        client.writer.write(head + body + b"0\r\nt: " + b"x" * size + b"\r\n\r\n")
+        assert (await client.answer())[0] == 200
+
+    run_with_node(test)
