--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -49,8 +49,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
         """Called by the event loop before it reads: what waits for its turn is left in the kernel."""
-        if self.input_closed or self.owner.input_scheduler.may_parse(self, monotonic_us()):
-            size = self.owner.ledger.read_bytes()
+        owner = self.owner
+        if self.input_closed or owner.input_scheduler.may_read(self):
+            size = owner.ledger.read_bytes()
         else:
             size = WAITING_READ_BYTES
         return READ_VIEW if size == READ_BYTES else READ_VIEW[:size]
--- a/harecross/downstream/input_scheduler.py
+++ b/harecross/downstream/input_scheduler.py
@@ -55,6 +55,13 @@
         self.deferred = 0
         self.floods = 0
 
+    def may_read(self, source: InputSource) -> bool:
+        """Returns whether the input that a connection is about to read may be parsed in this turn."""
+        if self.spent_us >= TURN_SHARE_US:
+            return False
+        # Asked before every read, so the clock is read only for a connection that has ever exceeded its share.
+        return source.flooded_at_us < 0 or not self.is_flooding(source, self.monotonic())
+
     def may_parse(self, source: InputSource, now: int) -> bool:
         """Returns whether the input that a connection has just read may be parsed in this turn."""
         return self.spent_us < TURN_SHARE_US and not self.is_flooding(source, now)
--- a/harecross/http/response_parser.py
+++ b/harecross/http/response_parser.py
@@ -233,8 +233,9 @@
     def read_body(self) -> bytes:
         """Returns the body bytes received since the previous call."""
         body = self.body
-        self.body_parts = []
-        self.held_body_bytes = 0
+        if body:
+            self.body_parts = []
+            self.held_body_bytes = 0
         return body
 
     @property
--- a/harecross/platform/memory_ledger.py
+++ b/harecross/platform/memory_ledger.py
@@ -34,10 +34,10 @@
 UPLOAD_WINDOW_BYTES = 1 << 16
 SHORT_UPLOAD_WINDOW_BYTES = 1 << 14
 OPENING_UPLOAD_WINDOW_BYTES = 1 << 18
-# The bounds of what is read from a connection at once. Between them, a read takes this part of what is left.
+# The bounds of what is read from a connection at once.
 READ_BYTES = 1 << 16
 MIN_READ_BYTES = 1 << 11
-READ_DIVISOR = 1 << 9
+READ_SHIFT = 9  # a read takes a 512th of what is left
 # What is read from a connection whose turn has not come: the event loop does not read nothing.
 WAITING_READ_BYTES = 1 << 8
 
@@ -88,8 +88,9 @@
 
     def note_peak(self) -> None:
         """Notes the present total, after bytes were added, and has the budget adapted if there are many."""
-        held = self.held
-        self.peak = max(self.peak, held)
+        held = self.bodies + self.input + self.upstream
+        if held > self.peak:
+            self.peak = held
         if self.on_growth is not None and held + self.objects >= self.grown_at:
             self.on_growth()
 
@@ -132,7 +133,7 @@
     def read_bytes(self) -> int:
         """Returns how many bytes are read from a connection at once: the fewer, the less is left."""
         # Written out, because it is asked for before every read.
-        left = (self.budget - self.bodies - self.input - self.upstream) // READ_DIVISOR
+        left = (self.budget - self.bodies - self.input - self.upstream) >> READ_SHIFT
         if left >= READ_BYTES:
             return READ_BYTES
         return left if left > MIN_READ_BYTES else MIN_READ_BYTES
--- a/tests/test_memory_control.py
+++ b/tests/test_memory_control.py
@@ -14,6 +14,7 @@
 )
 from harecross.node.memory_report import log_memory_at_start, log_memory_state
 from harecross.node.process_sizes import ProcessSizes
+from harecross.platform.allocator import FreeMemory
 from harecross.platform.memory_ledger import (
     CONNECTION_BYTES,
     MAX_GROWTH_BYTES,
@@ -27,14 +28,14 @@
 SHARE = 8 * MB
 
 
-class Process:
+class Process(FreeMemory):
     """A process whose size, clock and free memory the test sets."""
 
     def __init__(self, size: int | None) -> None:
+        super().__init__()
         self.size = size
         self.free = 0
         self.now = 0
-        self.trims = 0
         self.ledger = MemoryLedger(SHARE)
         self.control = MemoryControl(self.ledger, LIMIT, self.read_size, self, lambda: self.now)
 
@@ -43,7 +44,7 @@
         return None if self.size is None else ProcessSize(self.size, self.size)
 
     def give_back(self) -> None:
-        """Replaces `FreeMemory.give_back`."""
+        """Gives back what the test says is free."""
         self.trims += 1
         assert self.size is not None
         self.size -= self.free
@@ -64,7 +65,7 @@
     """Guards against bytes that are resident and in no account."""
     process = Process(26 * MB)
     process.control.check()
-    process.size += 3 * MB
+    process.size = 29 * MB
     process.ledger.bodies += MAX_GROWTH_BYTES
     process.ledger.note_peak()
     assert process.ledger.budget == MAX_GROWTH_BYTES + LIMIT - RESERVE_BYTES - 29 * MB
