--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -10,13 +10,14 @@
 from harecross.dispatch.dispatcher import RequestDispatcher
 from harecross.downstream.client_connection import ClientConnection
 from harecross.downstream.connection_state import RECEIVE_TIMEOUT_US, ConnectionState
+from harecross.downstream.held_bytes import HeldBytes
 from harecross.downstream.input_scheduler import InputScheduler
 from harecross.downstream.listener import Listener
+from harecross.downstream.memory_reclaim import MemoryReclaim
 from harecross.downstream.read_delay import Heartbeat
 from harecross.http.request_parser import RequestParser
 from harecross.platform.clock import monotonic_us
 from harecross.platform.descriptor_budget import DescriptorBudget
-from harecross.platform.memory_ledger import SMALL_BODY_BYTES
 from harecross.platform.system_errors import AcceptFailure
 
 IDLE_TIMEOUT_US = 5_000_000
@@ -38,8 +39,6 @@
 BACKLOG_RECHECK_S = 0.005
 # The time beyond the deadline of a shutdown for which the connections in the backlog are accepted. SIGKILL may follow.
 BACKLOG_GRACE_S = 0.2
-# Each reclamation visits all connections.
-RECLAIM_INTERVAL_US = 50_000
 # The maximum number of connections accepted in one turn of the event loop. Each uses a descriptor until it is refused.
 MAX_ACCEPTS_PER_TURN = 16
 
@@ -64,7 +63,7 @@
     return old
 
 
-class ConnectionManager:
+class ConnectionManager(MemoryReclaim):
     """Manages the listener and its connections; implements `ConnectionOwner`.
 
     `silent`, `receiving`, `idle`, `lingering` and `slow_readers` map connections to the time at which they entered that
@@ -108,7 +107,7 @@
         self.lingering: dict[ConnectionState, int] = {}
         self.slow_readers: dict[ConnectionState, int] = {}
         self.bad_requests: dict[int, int] = {}
-        self.backlogged: set[ConnectionState] = set()
+        self.backlogged: set[HeldBytes] = set()
         self.reclaimed_at_us = 0
         self.refused_connections = 0
         self.unseen_departures = 0
@@ -132,6 +131,7 @@
 
     @max_buffered_body_bytes.setter
     def max_buffered_body_bytes(self, size: int) -> None:
+        """Sets this process's share of the node's budget."""
         self.ledger.set_share(size)
 
     def listen(self, sock: socket.socket, backlog: int) -> None:
@@ -374,34 +374,6 @@
             else:
                 connection.timed_out()
 
-    def reclaim_memory(self) -> None:
-        """Drops what uploads retain for another attempt. These requests are not retried then.
-
-        Asked for at every part of a body while memory is short, it acts at most once in `RECLAIM_INTERVAL_US`.
-        """
-        now = monotonic_us()
-        if now >= self.reclaimed_at_us + RECLAIM_INTERVAL_US:
-            self.reclaimed_at_us = now
-            for connection in self.open:
-                connection.drop_retained()
-
-    def shed_large_bodies(self, size: int) -> int:
-        """Refuses large bodies that are received, the largest first, until `size` bytes are free; returns how many.
-
-        None of them is complete, so no server runs its request.
-        """
-        large = [(each.held_body_bytes(), each) for each in self.receiving]
-        large = [(held, each) for held, each in large if held > SMALL_BODY_BYTES and not each.input_closed]
-        freed = 0
-        for held, connection in sorted(large, key=lambda item: -item[0]):
-            if freed >= size:
-                break
-            freed += held
-            self.ledger.refused += 1
-            connection.reject_input(503)
-            connection.handle_pending()
-        return freed
-
     def close_idle(self) -> None:
         """Closes idle connections; silent ones are kept, because a request may be on its way."""
         for connection in list(self.idle):
--- /dev/null
+++ b/harecross/downstream/memory_reclaim.py
@@ -0,0 +1,47 @@
+"""Frees memory that client connections hold, when it is short."""
+
+from __future__ import annotations
+
+from harecross.downstream.connection_state import ConnectionState
+from harecross.platform.clock import monotonic_us
+from harecross.platform.memory_ledger import SMALL_BODY_BYTES, MemoryLedger
+
+# Each reclamation visits all connections.
+RECLAIM_INTERVAL_US = 50_000
+
+
+class MemoryReclaim:
+    """What a `ConnectionManager`, which documents the attributes, does when memory is short."""
+
+    ledger: MemoryLedger
+    open: set[ConnectionState]
+    receiving: dict[ConnectionState, int]
+    reclaimed_at_us: int
+
+    def reclaim_memory(self) -> None:
+        """Drops what uploads retain for another attempt. These requests are not retried then.
+
+        Asked for at every part of a body while memory is short, it acts at most once in `RECLAIM_INTERVAL_US`.
+        """
+        now = monotonic_us()
+        if now >= self.reclaimed_at_us + RECLAIM_INTERVAL_US:
+            self.reclaimed_at_us = now
+            for connection in self.open:
+                connection.drop_retained()
+
+    def shed_large_bodies(self, size: int) -> int:
+        """Refuses large bodies that are received, the largest first, until `size` bytes are free; returns how many.
+
+        None of them is complete, so no server runs its request.
+        """
+        large = [(each.held_body_bytes(), each) for each in self.receiving]
+        large = [(held, each) for held, each in large if held > SMALL_BODY_BYTES and not each.input_closed]
+        freed = 0
+        for held, connection in sorted(large, key=lambda item: -item[0]):
+            if freed >= size:
+                break
+            freed += held
+            self.ledger.refused += 1
+            connection.reject_input(503)
+            connection.handle_pending()
+        return freed
