--- a/harecross/soak/node.py
+++ b/harecross/soak/node.py
@@ -209,6 +209,7 @@
         self._check_memory()
         self.record_event("SIGKILL")
         await process.end()
+        self.record_event("ended")
         self._store_log()
         await asyncio.sleep(RESTART_AFTER_S)
         await self.start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -107,6 +107,16 @@
             True,
         ),
         (replace(CLIENT, outcome=ClientOutcome.CLOSED, ended_at=10.3), [("SIGKILL", 9.9)], True),
+        (
+            replace(CLIENT, outcome=ClientOutcome.CLOSED, ended_at=10.3),
+            [("SIGKILL", 9.9), ("ended", 10.3)],
+            False,
+        ),
+        (
+            replace(CLIENT, outcome=ClientOutcome.CLOSED, ended_at=10.3),
+            [("SIGKILL", 9.7), ("ended", 9.9)],
+            True,
+        ),
         (replace(CLIENT, outcome=ClientOutcome.CLOSED, ended_at=10.3), [("SIGKILL", 10.4)], True),
     ],
 )
