--- a/harecross/downstream/response_sender.py
+++ b/harecross/downstream/response_sender.py
@@ -9,7 +9,7 @@
 
 from harecross.dispatch.close_reasons import CloseReason
 from harecross.downstream.connection_state import ConnectionState
-from harecross.http.body_buffer import MAX_HELD_RESPONSE_BYTES
+from harecross.http.body_buffer import MAX_BUFFERED_BODY_BYTES, MAX_HELD_RESPONSE_BYTES
 from harecross.platform.clock import monotonic_us
 from harecross.platform.memory_ledger import SMALL_BODY_BYTES
 
@@ -141,8 +141,10 @@
     def send_large(self, head: bytes, body: bytes) -> None:
         """Sends a whole response that the kernel may not take at once, without a copy of it."""
         assert self.transport is not None
-        if not self.large_response:
+        if len(body) > MAX_BUFFERED_BODY_BYTES:
             self.set_send_buffer(MAX_HELD_RESPONSE_BYTES)
+        elif not self.large_response:
+            self.set_send_buffer(MAX_BUFFERED_BODY_BYTES)
         self.large_response = True
         self.transport.write(head)
         self.transport.write(body)
