--- a/harecross/downstream/client_connection.py
+++ b/harecross/downstream/client_connection.py
@@ -119,7 +119,7 @@
         """Handles pending requests in order."""
         while self.pending and not self.busy and not self.write_blocked and self.transport is not None:
             if self.large_response and self.waits_for_reader():
-                self.owner.backlogged.add(self)
+                self.owner.mark_waiting_for_reader(self)
                 return
             item = self.pending[0]
             if isinstance(item, ParsedRequest):
--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from enum import Enum
+from typing import cast
 
 from harecross.dispatch.close_reasons import ClosedConnection, CloseReason
 from harecross.dispatch.dispatcher import RequestDispatcher
@@ -326,6 +327,12 @@
         self.unmark(connection)
         self.slow_readers[connection] = monotonic_us()
 
+    def mark_waiting_for_reader(self, connection: ConnectionState) -> None:
+        """Looks at a connection whose requests wait again later; its first wait starts the timeout of a slow reader."""
+        self.backlogged.add(connection)
+        if connection not in self.slow_readers:
+            self.mark_slow_reader(connection)
+
     def mark_lingering(self, connection: ConnectionState) -> None:
         """Starts the timeout for closing a connection after its last response."""
         self.unmark(connection)
@@ -336,9 +343,9 @@
         for group in (self.silent, self.receiving, self.idle):
             group.pop(connection, None)
 
-    def unmark_slow_reader(self, connection: ConnectionState) -> None:
+    def unmark_slow_reader(self, connection: HeldBytes) -> None:
         """Stops the timeout for a slow reader."""
-        self.slow_readers.pop(connection, None)
+        self.slow_readers.pop(cast(ConnectionState, connection), None)
 
     def sweep(self) -> None:
         """Closes connections whose timeouts have expired."""
--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -80,13 +80,16 @@
     def mark_slow_reader(self, connection: ConnectionState) -> None:
         """Starts the timeout for a client that does not read its response."""
 
+    def mark_waiting_for_reader(self, connection: ConnectionState) -> None:
+        """Looks at a connection whose requests wait again later; its first wait starts the timeout of a slow reader."""
+
     def mark_lingering(self, connection: ConnectionState) -> None:
         """Starts the timeout for closing a connection after its last response."""
 
     def unmark(self, connection: ConnectionState) -> None:
         """Stops the timeouts of a silent, receiving or idle connection."""
 
-    def unmark_slow_reader(self, connection: ConnectionState) -> None:
+    def unmark_slow_reader(self, connection: HeldBytes) -> None:
         """Stops the timeout for a slow reader."""
 
     def reclaim_memory(self) -> None:
--- a/harecross/downstream/input_reader.py
+++ b/harecross/downstream/input_reader.py
@@ -139,7 +139,7 @@
                 return position
             if self.turn_events - events_before <= SPARSE_SLICE_EVENTS:
                 size = min(MAX_SLICE_BYTES, size * SLICE_GROWTH)
-        if position < len(data):
+        if position < len(data) or self.turn_events >= EVENTS_PER_TURN:
             self.owner.input_scheduler.exceeded(self)
         return position
 
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from node_support import NodeEnvironment, run, run_with_node, wait_until
 
 from benchmarks.other_clients import Crowd, measure
+from harecross.downstream import connection_manager
 from harecross.http.body_buffer import MAX_BUFFERED_BODY_BYTES
 from harecross.node.memory_report import held_bytes
+from harecross.platform.memory_ledger import MemoryLedger
 from harecross.soak.abusive_clients import WRITTEN_UPLOAD_BYTES, upload_head
 
 MEMORY_MB = 96
@@ -110,3 +113,24 @@
         assert (await client.answer())[0] == 200
 
     run_with_node(test)
+
+
+def test_a_client_whose_requests_wait_and_that_reads_nothing_is_closed(monkeypatch):
+    """Guards against requests that wait for their reader, and a connection that no timeout closes."""
+    monkeypatch.setattr(MemoryLedger, "is_short", property(lambda _: True))
+    monkeypatch.setattr(connection_manager, "SLOW_READER_TIMEOUT_US", 300_000)
+
+    async def test(env: NodeEnvironment) -> None:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.settimeout(0)
+        await asyncio.get_running_loop().sock_connect(sock, env.node.address)
+        for i in range(2):
+            text = b"GET /read/1 HTTP/1.1\r\nX-Request-ID: n%d\r\nX-Timeout: 900m\r\n\r\n" % i
+            await asyncio.get_running_loop().sock_sendall(sock, text)
+        (await env.upstreams[0].received.get()).answer(body=bytes(60_000))
+        await wait_until(lambda: not env.node.client_connections.open)
+        assert env.upstreams[0].received.empty()
+        sock.close()
+
+    run_with_node(test)
--- a/tests/test_memory_control.py
+++ b/tests/test_memory_control.py
@@ -164,6 +164,7 @@
     async def test(env: NodeEnvironment) -> None:
         parts = env.node.parts
         parts.memory_control.is_short = True
+        parts.memory_control.read_size = ResidentSize().read
         log_memory_state(parts)
         parts.memory_control.limit = MB
         log_memory_at_start(parts)
