Responses are admitted while memory is short; all of a response is held once it is written

Cause: nothing asked before bytes of a response were taken. A read takes little while memory is short, but libuv reads up to 32 times in one poll, so parts of all responses in flight (160 x 60 KB) were held beside each other. What the kernel did not take of a written response was in the account a turn later only.

Change: while memory is short, a response that is held until it is complete is admitted after its first read when there is room for all that is missing of it; the others wait in the kernel, first come first served. Streamed responses need no admission. A written response counts at once.

--- a/benchmarks/other_clients.py
+++ b/benchmarks/other_clients.py
@@ -19,6 +19,7 @@
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -35,7 +36,6 @@
 ANSWER_GRACE_S = 0.5
 SETTLE_S = 0.5
 ANSWER_DELAY_S = 0.01
-SUSPEND_AFTER_S = 0.2
 SAMPLE_INTERVAL_S = 0.01
 BLOCK_BYTES = 512  # the unit of st_blocks (stat(2))
 LISTEN_BACKLOG = 1024
@@ -76,12 +76,26 @@
         return f"{answered}, {self.late} late, {self.refused} refused, {self.closed} closed unread"
 
 
-async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Answers requests after a short time; a body is read to its end."""
+class Servers(NamedTuple):
+    """How many servers there are, and how long each of them takes for an answer."""
+
+    number: int
+    answer_delay_s: float = ANSWER_DELAY_S
+
+
+class Suspension(NamedTuple):
+    """For how long the node's process is stopped (SIGSTOP), and how long after the abuse has begun."""
+
+    seconds: float
+    after_s: float = 0.2
+
+
+async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answer_delay_s: float) -> None:
+    """Answers requests after some time; a body is read to its end."""
     try:
         while True:
             head, _ = await read_message(reader)
-            await asyncio.sleep(ANSWER_DELAY_S)
+            await asyncio.sleep(answer_delay_s)
             path = b"/" + head.split(b" ", 2)[1].rsplit(b"/", 1)[1]
             size = ANSWER_SIZES.get(path)
             writer.write(answer(200, bytes(size) if size else header(head, b"X-Request-ID")))
@@ -129,9 +143,10 @@
 
 
 @asynccontextmanager
-async def environment(memory_mb: int, servers: int) -> AsyncIterator[tuple[Path, dict[str, Any]]]:
+async def environment(memory_mb: int, servers: Servers) -> AsyncIterator[tuple[Path, dict[str, Any]]]:
     """Provides servers and a discovery; yields a folder and the configuration of a node that uses them."""
-    listening = [await listen(serve) for _ in range(servers)]
+    handler = partial(serve, answer_delay_s=servers.answer_delay_s)
+    listening = [await listen(handler) for _ in range(servers.number)]
     entries = [entry(f"s{i}", address) for i, (_, address) in enumerate(listening)]
     discovery = await StandinDiscovery().start()
     discovery.put(*entries)
@@ -169,11 +184,11 @@
     return parse_status(Path(f"/proc/{node.process.pid}/status").read_text())
 
 
-async def suspend(node: NodeProcess, seconds: float) -> None:
-    """Stops a node's process for a while, soon after the abuse has begun."""
-    await asyncio.sleep(SUSPEND_AFTER_S)
+async def suspend(node: NodeProcess, suspension: Suspension) -> None:
+    """Stops a node's process for a while."""
+    await asyncio.sleep(suspension.after_s)
     node.signal(signal.SIGSTOP)
-    await asyncio.sleep(seconds)
+    await asyncio.sleep(suspension.seconds)
     node.signal(signal.SIGCONT)
 
 
@@ -185,8 +200,10 @@
     seconds: float
 
 
-async def measure(crowd: Crowd, memory_mb: int, servers: int, suspended_s: float = 0.0) -> Measurement:
-    """Runs one node under one kind of abuse; `suspended_s` stops its process for as long in between."""
+async def measure(
+    crowd: Crowd, memory_mb: int, servers: Servers, suspension: Suspension | None = None
+) -> Measurement:
+    """Runs one node under one kind of abuse."""
     async with environment(memory_mb, servers) as (folder, config):
         node = NodeProcess("n0", folder, config)
         await node.start(None)
@@ -194,8 +211,8 @@
         assert idle is not None
         outcome = Outcome()
         abuser = await start_process(*crowd[:2], node.address, crowd.seconds)
-        if suspended_s:
-            await suspend(node, suspended_s)
+        if suspension is not None:
+            await suspend(node, suspension)
         await ask_politely(node.address, outcome, crowd.seconds)
         await abuser.wait()
         await asyncio.sleep(SETTLE_S)
@@ -224,7 +241,7 @@
         await asyncio.sleep(SAMPLE_INTERVAL_S)
 
 
-async def measure_upgrade(crowd: Crowd, memory_mb: int, servers: int) -> int:
+async def measure_upgrade(crowd: Crowd, memory_mb: int, servers: Servers) -> int:
     """Starts a second process of a node under abuse, and ends the first one; returns the node's largest size."""
     async with environment(memory_mb, servers) as (folder, config):
         state = folder / "state"
@@ -273,7 +290,8 @@
     for kind in KINDS:
         for clients in options.clients if options.kind in kind else []:
             for memory_mb in options.memory:
-                row = run(measure(Crowd(kind, clients, options.seconds), memory_mb, options.servers))
+                crowd = Crowd(kind, clients, options.seconds)
+                row = run(measure(crowd, memory_mb, Servers(options.servers)))
                 sys.stdout.write(f"{kind}, {clients} clients, {memory_mb} MB: {row.row()}\n")
                 sys.stdout.flush()
 
--- a/harecross/downstream/response_sender.py
+++ b/harecross/downstream/response_sender.py
@@ -148,7 +148,8 @@
         self.large_response = True
         self.transport.write(head)
         self.transport.write(body)
-        # The event loop offers the response to the kernel at the end of this turn.
+        # What the kernel does not take at once is held; the event loop may offer all of it at the end of this turn.
+        self.backlogged = True
         self.owner.loop.call_soon(self.settle_backlog)
 
     def response_sent(self, *, closes: bool) -> None:
--- a/harecross/platform/memory_ledger.py
+++ b/harecross/platform/memory_ledger.py
@@ -94,6 +94,11 @@
         if self.on_growth is not None and held + self.objects >= self.grown_at:
             self.on_growth()
 
+    def refresh(self) -> None:
+        """Has the budget adapted to the present size of the process."""
+        if self.on_growth is not None:
+            self.on_growth()
+
     def set_share(self, share: int) -> None:
         """Sets the share of this process; `set_left` lowers the budget below it if need be."""
         self.share = self.budget = share
--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -9,7 +9,7 @@
 from harecross.http.response_parser import ReadResult, ResponseParser
 from harecross.interface import Outcome
 from harecross.platform.clock import monotonic_us
-from harecross.platform.memory_ledger import READ_BYTES
+from harecross.platform.memory_ledger import MIN_READ_BYTES, READ_BYTES
 from harecross.upstream import duplicate_responses
 from harecross.upstream.connection_owner import ConnectionOwner
 from harecross.upstream.duplicate_responses import ConnectionResponses, fingerprint
@@ -127,12 +127,16 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """See `asyncio.BufferedProtocol`."""
         size = self.pool.ledger.read_bytes()
-        return READ_VIEW if size == READ_BYTES else READ_VIEW[:size]
+        if size == READ_BYTES:
+            return READ_VIEW
+        return READ_VIEW[: size if self.pool.response_reads.may_read(self) else MIN_READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """See `asyncio.BufferedProtocol`."""
         self.receive(bytes(READ_VIEW[:nbytes]))
         self.settle()
+        if self.exchange is not None:
+            self.admit_response()
 
     def receive(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -245,6 +249,7 @@
             self.fail_exchange(CloseReason.ABANDONED)
             return False
         exchange.response_streamed = True
+        self.end_admission()
         if exchange.deadline_timer is not None:
             exchange.deadline_timer.cancel()
         self.pool.streaming.add(self)
@@ -356,6 +361,7 @@
         """Stops the upload and the streaming of the exchange on this connection."""
         self.upload_unfinished = False
         self.pool.streaming.discard(self)
+        self.end_admission()
         if self.hold_timer is not None:
             self.hold_timer.cancel()
             self.hold_timer = None
--- a/harecross/upstream/connection_owner.py
+++ b/harecross/upstream/connection_owner.py
@@ -11,6 +11,7 @@
 from harecross.platform.memory_ledger import MemoryLedger
 from harecross.upstream.duplicate_responses import ResponseVariety
 from harecross.upstream.exchange import Exchange
+from harecross.upstream.response_reads import ResponseReads
 
 if TYPE_CHECKING:
     from harecross.upstream.connection import ServerConnection
@@ -25,6 +26,7 @@
     streaming: set[ServerConnection]
     malformed_responses: int
     responses_passed_on_early: int
+    response_reads: ResponseReads
     response_variety: ResponseVariety
     on_connection_closed: Callable[[ClosedConnection], None]
 
--- a/harecross/upstream/connection_pool.py
+++ b/harecross/upstream/connection_pool.py
@@ -24,6 +24,7 @@
 from harecross.upstream.connection import ServerConnection
 from harecross.upstream.duplicate_responses import ResponseVariety
 from harecross.upstream.exchange import NO_DEADLINE_US, Exchange, HealthCheck
+from harecross.upstream.response_reads import ResponseReads
 from harecross.upstream.server_process import ServerProcess
 from harecross.upstream.stream_buffers import StreamBuffers
 
@@ -44,6 +45,7 @@
         report_size: Number of load report fields.
         on_descriptor_shortage: Closes a client connection to free a descriptor; returns whether it closed one.
         ledger: The account of the bytes that the process holds.
+        response_reads: The connections whose responses wait for memory.
         load_reports: Number of valid load reports received.
         malformed_responses: Number of malformed responses received.
         responses_passed_on_early: Number of responses of unknown length that were passed on at a deadline.
@@ -77,6 +79,7 @@
         self.on_connection_closed: Callable[[ClosedConnection], None] = lambda closed: None
         self.on_descriptor_shortage: Callable[[], bool] = lambda: False
         self.ledger = MemoryLedger(DEFAULT_MEMORY_BUDGET_BYTES)
+        self.response_reads = ResponseReads(self.ledger, self.loop.call_later)
         self.load_reports = 0
         self.malformed_responses = 0
         self.responses_passed_on_early = 0
--- a/harecross/upstream/response_forwarding.py
+++ b/harecross/upstream/response_forwarding.py
@@ -1,4 +1,4 @@
-"""Passes the response to the exchange of a connection on, while it is received."""
+"""Passes the response to the exchange of a connection on, while it is received, and pauses reading it."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from abc import abstractmethod
 from contextlib import suppress
 
-from harecross.http.response_parser import ResponseParser
+from harecross.http.response_parser import STREAMING_THRESHOLD_BYTES, ResponseParser
 from harecross.platform.clock import monotonic_us
 from harecross.upstream.connection_owner import ConnectionOwner
 from harecross.upstream.exchange import Exchange
@@ -84,3 +84,35 @@
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
+
+    def admit_response(self) -> None:
+        """Leaves the rest of a response that is held until it is complete in the kernel, when memory is short.
+
+        A streamed response needs no admission: it is read as its client takes it.
+        """
+        reads = self.pool.response_reads
+        if self.parser is None or self.parser.streaming or self.transport is None or reads.may_read(self):
+            return
+        if not reads.admit(self):
+            self.transport.pause_reading()
+
+    def end_admission(self) -> None:
+        """Gives up the place of a response that has ended or is streamed from now on."""
+        if self.pool.response_reads.leave(self):
+            self.resume_response()
+
+    def expected_bytes(self) -> int:
+        """See `response_reads.ReadSource`; a response of unknown length is streamed once it is large."""
+        if self.parser is None:
+            return 0
+        return STREAMING_THRESHOLD_BYTES if self.parser.length is None else self.parser.length
+
+    def missing_bytes(self) -> int:
+        """See `response_reads.ReadSource`."""
+        received = 0 if self.parser is None else self.parser.body_size
+        return max(0, self.expected_bytes() - received)
+
+    def resume_response(self) -> None:
+        """See `response_reads.ReadSource`."""
+        if self.transport is not None and not self.read_paused:
+            self.transport.resume_reading()
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -8,7 +8,7 @@
 import pytest
 from node_support import NodeEnvironment, run, run_with_node, wait_until
 
-from benchmarks.other_clients import Crowd, measure
+from benchmarks.other_clients import Crowd, Servers, measure
 from harecross.downstream import connection_manager
 from harecross.http.body_buffer import MAX_BUFFERED_BODY_BYTES
 from harecross.node.memory_report import held_bytes
@@ -59,7 +59,7 @@
     """Guards against many peers that together make a real process pass its limit."""
 
     async def test() -> None:
-        memory = (await measure(Crowd(kind, 850, 4.0), MEMORY_MB, servers=80)).memory
+        memory = (await measure(Crowd(kind, 850, 4.0), MEMORY_MB, Servers(80))).memory
         assert memory is not None
         assert memory.peak < MEMORY_MB << 20
 
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -5,12 +5,12 @@
 import pytest
 from node_support import run
 
-from benchmarks.other_clients import Crowd, measure
+from benchmarks.other_clients import Crowd, Servers, Suspension, measure
 from harecross.soak.abusive_clients import HOARDING_KINDS
 
 LEAST_MEMORY_MB = 32
 CLIENTS = 850
-SERVERS = 18
+SERVERS = Servers(18)
 SECONDS = 2.0
 
 
@@ -32,8 +32,29 @@
     """Guards against a crowd whose bytes are all read at once when the process goes on."""
 
     async def test() -> None:
-        result = await measure(Crowd(kind, CLIENTS, SECONDS), LEAST_MEMORY_MB, SERVERS, suspended_s=1.5)
+        result = await measure(Crowd(kind, CLIENTS, SECONDS), LEAST_MEMORY_MB, SERVERS, Suspension(1.5))
         assert result.memory is not None
         assert result.memory.peak <= LEAST_MEMORY_MB << 20
 
     run(test())
+
+
+@pytest.mark.parametrize(
+    ("servers", "suspension"),
+    [
+        (Servers(18, answer_delay_s=0.1), Suspension(0.4, after_s=0.3)),
+        (Servers(18, answer_delay_s=0.01), Suspension(0.8, after_s=0.5)),
+        (Servers(80, answer_delay_s=0.3), Suspension(0.4, after_s=0.3)),
+    ],
+)
+def test_responses_that_arrive_while_a_process_is_stopped_keep_to_the_limit(servers, suspension):
+    """Guards against responses of many servers that are all read in one turn of the event loop."""
+
+    async def test() -> None:
+        crowd = Crowd("unread answers", CLIENTS, SECONDS)
+        result = await measure(crowd, LEAST_MEMORY_MB, servers, suspension)
+        assert result.memory is not None
+        assert result.memory.peak <= LEAST_MEMORY_MB << 20
+        assert result.outcome.late == 0
+
+    run(test())
--- a/tests/test_memory_limit_upgrade.py
+++ b/tests/test_memory_limit_upgrade.py
@@ -5,10 +5,10 @@
 import pytest
 from node_support import run
 
-from benchmarks.other_clients import Crowd, measure_upgrade
+from benchmarks.other_clients import Crowd, Servers, measure_upgrade
 
 CLIENTS = 850
-SERVERS = 18
+SERVERS = Servers(18)
 SECONDS = 4.5
 
 
--- a/tests/test_turn_shares.py
+++ b/tests/test_turn_shares.py
@@ -8,7 +8,7 @@
 import pytest
 from node_support import NodeEnvironment, run, run_with_node, wait_until
 
-from benchmarks.other_clients import Crowd, measure
+from benchmarks.other_clients import Crowd, Servers, measure
 from harecross.downstream.client_connection import ClientConnection
 from harecross.downstream.request_receiver import RequestReceiver
 from harecross.soak.abusive_clients import HEALTH_CHECK, upload_head
@@ -96,7 +96,7 @@
     """Guards against floods that delay other clients' answers beyond their time, in a real process."""
 
     async def test() -> None:
-        outcome = (await measure(Crowd(kind, clients, 2.5), memory_mb=192, servers=3)).outcome
+        outcome = (await measure(Crowd(kind, clients, 2.5), memory_mb=192, servers=Servers(3))).outcome
         assert len(outcome.latencies) + outcome.refused > 0
         assert outcome.late == 0
 
