A request that waited for its reader is not closed by the timeout of that wait

Seen by reading: while memory is short, a client's next request waits until the client has read the answer before it; after 10 s of that its connection is closed. The timeout ended with the acknowledgement only, so once memory was no longer short the request went on and the timeout closed its connection, with an answer on its way.

Change: the timeout ends whenever the wait does. The new test failed before (the connection was closed) and passes.

--- a/harecross/downstream/held_bytes.py
+++ b/harecross/downstream/held_bytes.py
@@ -114,8 +114,10 @@
         """Returns whether further requests wait until the client has read a response, because memory is short."""
         if self.large_response and unacknowledged_bytes(self.descriptor) in (0, None):
             self.large_response = False
+        waits = self.large_response and self.owner.ledger.is_short
+        if not waits:
             self.owner.unmark_slow_reader(self)
-        return self.large_response and self.owner.ledger.is_short
+        return waits
 
     def held_message_bytes(self) -> int:
         """Returns the bytes of unparsed input, heads and whole bodies that this connection holds."""
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -14,10 +14,12 @@
 from harecross.node.memory_report import held_bytes
 from harecross.platform.memory_ledger import MemoryLedger
 from harecross.soak.abusive_clients import WRITTEN_UPLOAD_BYTES, upload_head
+from harecross.standins.http import read_message
 
 MEMORY_MB = 96
 ONE_READ_BYTES = 1 << 14
 CLIENTS = 40
+RESPONSE_BYTES = 60_000
 
 
 def test_an_upload_is_dropped_when_its_request_is_answered_by_the_node():
@@ -115,22 +117,56 @@
     run_with_node(test)
 
 
+async def small_receiver(env: NodeEnvironment) -> socket.socket:
+    """Connects to the node with a receive buffer that takes a part of a large response."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.settimeout(0)
+    await asyncio.get_running_loop().sock_connect(sock, env.node.address)
+    return sock
+
+
+async def pipeline(sock: socket.socket, requests: int) -> None:
+    """Sends several requests at once."""
+    for i in range(requests):
+        text = b"GET /read/1 HTTP/1.1\r\nX-Request-ID: n%d\r\nX-Timeout: 9000m\r\n\r\n" % i
+        await asyncio.get_running_loop().sock_sendall(sock, text)
+
+
 def test_a_client_whose_requests_wait_and_that_reads_nothing_is_closed(monkeypatch):
     """Guards against requests that wait for their reader, and a connection that no timeout closes."""
     monkeypatch.setattr(MemoryLedger, "is_short", property(lambda _: True))
     monkeypatch.setattr(connection_manager, "SLOW_READER_TIMEOUT_US", 300_000)
 
     async def test(env: NodeEnvironment) -> None:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        sock.settimeout(0)
-        await asyncio.get_running_loop().sock_connect(sock, env.node.address)
-        for i in range(2):
-            text = b"GET /read/1 HTTP/1.1\r\nX-Request-ID: n%d\r\nX-Timeout: 900m\r\n\r\n" % i
-            await asyncio.get_running_loop().sock_sendall(sock, text)
-        (await env.upstreams[0].received.get()).answer(body=bytes(60_000))
+        sock = await small_receiver(env)
+        await pipeline(sock, 2)
+        (await env.upstreams[0].received.get()).answer(body=bytes(RESPONSE_BYTES))
         await wait_until(lambda: not env.node.client_connections.open)
         assert env.upstreams[0].received.empty()
         sock.close()
 
     run_with_node(test)
+
+
+def test_a_request_that_waited_for_its_reader_is_not_timed_out_with_it(monkeypatch):
+    """Guards against a request that is lost with its connection, because the one before it was read late."""
+    short = [True]
+    monkeypatch.setattr(MemoryLedger, "is_short", property(lambda _: short[0]))
+    monkeypatch.setattr(connection_manager, "SLOW_READER_TIMEOUT_US", 300_000)
+
+    async def test(env: NodeEnvironment) -> None:
+        sock = await small_receiver(env)
+        await pipeline(sock, 2)
+        (await env.upstreams[0].received.get()).answer(body=bytes(RESPONSE_BYTES))
+        await wait_until(lambda: env.node.client_connections.slow_readers)
+        short[0] = False
+        request = await env.upstreams[0].received.get()
+        await asyncio.sleep(0.8)
+        request.answer()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        async with asyncio.timeout(2):
+            assert [(await read_message(reader))[0].split(b" ")[1] for _ in range(2)] == [b"200"] * 2
+        writer.close()
+
+    run_with_node(test)
