Memory is freed of the bodies that are received, not of those that a server has

Seen by reading: a client whose complete body is at a server and that sends a small part of a next one was taken for the largest, its next message was refused, and that freed the small part only; the client with the largest unfinished body kept it.

Change: bodies are compared by what is held of the message that is received.

--- a/harecross/downstream/held_bytes.py
+++ b/harecross/downstream/held_bytes.py
@@ -85,6 +85,11 @@
             return size + len(upload.buffered) if upload is not None else size
         return size + sum(len(upload.buffered) for upload in self.uploads())
 
+    def incoming_body_bytes(self) -> int:
+        """Returns the bytes that are held of the body that is received."""
+        upload = self.incoming_upload
+        return len(self.body) + (len(upload.buffered) if upload is not None else 0)
+
     def held_other_bytes(self) -> int:
         """Returns the bytes of heads, unparsed input and responses that this connection holds."""
         unsent = self.unsent_bytes() if self.write_blocked or self.backlogged else 0
--- a/harecross/downstream/memory_reclaim.py
+++ b/harecross/downstream/memory_reclaim.py
@@ -34,11 +34,11 @@
 
         None of them is complete, so no server runs its request.
         """
-        large = [(each.held_body_bytes(), each) for each in self.receiving]
-        large = [(held, each) for held, each in large if held > SMALL_BODY_BYTES and not each.input_closed]
+        refusable = (each for each in self.receiving if not each.input_closed)
+        bodies = [(each.incoming_body_bytes(), each) for each in refusable]
         freed = 0
-        for held, connection in sorted(large, key=lambda item: -item[0]):
-            if freed >= size:
+        for held, connection in sorted(bodies, key=lambda item: -item[0]):
+            if freed >= size or held <= SMALL_BODY_BYTES:
                 break
             freed += held
             self.ledger.refused += 1
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -7,6 +7,7 @@
 
 import pytest
 from node_support import NodeEnvironment, run, run_with_node, wait_until
+from streaming_support import connect_slow_reader
 
 from benchmarks.other_clients import Crowd, Servers, measure
 from harecross.downstream import connection_manager
@@ -117,15 +118,6 @@
     run_with_node(test)
 
 
-async def small_receiver(env: NodeEnvironment) -> socket.socket:
-    """Connects to the node with a receive buffer that takes a part of a large response."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    sock.settimeout(0)
-    await asyncio.get_running_loop().sock_connect(sock, env.node.address)
-    return sock
-
-
 async def pipeline(sock: socket.socket, requests: int) -> None:
     """Sends several requests at once."""
     for i in range(requests):
@@ -139,7 +131,7 @@
     monkeypatch.setattr(connection_manager, "SLOW_READER_TIMEOUT_US", 300_000)
 
     async def test(env: NodeEnvironment) -> None:
-        sock = await small_receiver(env)
+        sock = await connect_slow_reader(env.node.address)
         await pipeline(sock, 2)
         (await env.upstreams[0].received.get()).answer(body=bytes(RESPONSE_BYTES))
         await wait_until(lambda: not env.node.client_connections.open)
@@ -156,7 +148,7 @@
     monkeypatch.setattr(connection_manager, "SLOW_READER_TIMEOUT_US", 300_000)
 
     async def test(env: NodeEnvironment) -> None:
-        sock = await small_receiver(env)
+        sock = await connect_slow_reader(env.node.address)
         await pipeline(sock, 2)
         (await env.upstreams[0].received.get()).answer(body=bytes(RESPONSE_BYTES))
         await wait_until(lambda: env.node.client_connections.slow_readers)
--- a/tests/test_response_reads.py
+++ b/tests/test_response_reads.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 from node_support import Client, NodeEnvironment, ReceivedRequest, run_with_node, wait_until
+from streaming_support import connect_slow_reader
 
 from harecross.downstream import response_sender
 from harecross.downstream.response_sender import ResponseSender
@@ -180,12 +180,8 @@
     monkeypatch.setattr(response_sender, "MAX_BUFFERED_BODY_BYTES", SMALL_BUFFER_BYTES)
 
     async def test(env: NodeEnvironment) -> None:
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-        sock.settimeout(0)
-        loop = asyncio.get_running_loop()
-        await loop.sock_connect(sock, env.node.address)
-        await loop.sock_sendall(sock, b"GET /read/1 HTTP/1.1\r\nX-Request-ID: n\r\nX-Timeout: 900m\r\n\r\n")
+        sock = await connect_slow_reader(env.node.address)
+        sock.send(b"GET /read/1 HTTP/1.1\r\nX-Request-ID: n\r\nX-Timeout: 900m\r\n\r\n")
         (await env.upstreams[0].received.get()).answer(body=bytes(RESPONSE_BYTES))
         await wait_until(lambda: held)
         assert held[0] >= RESPONSE_BYTES // 2
