An upload whose answer has begun is not refused to free memory

Seen by reading: refusing such an upload cuts off its answer, which a client got in part.

Change: uploads whose answer is being passed on are left out. The new test failed before (the connection was closed) and passes.

--- a/harecross/downstream/connection_state.py
+++ b/harecross/downstream/connection_state.py
@@ -267,6 +267,11 @@
         waiting = self.busy or self.pending or self.unparsed or self.receiving
         return not (waiting or self.input_closed or self.write_blocked)
 
+    def answers_incoming_upload(self) -> bool:
+        """Returns whether the answer to the upload that is received has begun: it is cut off if the upload ends."""
+        begun = self.set_response_paused is not None
+        return begun and self.incoming_upload is not None and self.incoming_upload is self.current_upload
+
     def abort(self, reason: CloseReason) -> None:
         """Closes the connection immediately and drops unsent data."""
         if self.transport is not None:
--- a/harecross/downstream/memory_reclaim.py
+++ b/harecross/downstream/memory_reclaim.py
@@ -35,7 +35,9 @@
         None of them is complete, so no server runs its request.
         """
         refusable = (each for each in self.receiving if not each.input_closed)
-        bodies = [(each.incoming_body_bytes(), each) for each in refusable]
+        bodies = [
+            (each.incoming_body_bytes(), each) for each in refusable if not each.answers_incoming_upload()
+        ]
         freed = 0
         for held, connection in sorted(bodies, key=lambda item: -item[0]):
             if freed >= size or held <= SMALL_BODY_BYTES:
