The size of the process is asked for after 128 changes at the latest, 16 when little is left

Cause: the size was asked for when more was held than before.

Change: it is also asked for after 128 changes of what is held, after 16 while less than 1 MB is left. The new test failed before for both numbers.

--- a/harecross/platform/memory_ledger.py
+++ b/harecross/platform/memory_ledger.py
@@ -23,6 +23,11 @@
 MIN_GROWTH_BYTES = 1 << 15
 MAX_GROWTH_BYTES = 1 << 18
 GROWTH_DIVISOR = 4
+# After how many changes it is asked for at the latest, usually and while little is left: what is freed in between does
+# not return to the system at once, so a process also grows while it holds no more.
+CHANGES_PER_CHECK = 128
+SCARCE_CHANGES_PER_CHECK = 16
+SCARCE_BYTES = 1 << 20
 # A body up to this size is refused only when the whole budget is used, so that large ones do not keep it out.
 SMALL_BODY_BYTES = 1 << 12
 # The parts of the budget, in eighths, from which memory is short, buffers are given back, and bodies are refused.
@@ -48,7 +53,9 @@
     Attributes:
         share: The number of bytes that this process may hold of what the node may.
         budget: The number of bytes that it may hold now: its share, or less where the process itself has grown.
-        on_growth: Called when much more is held than at the last call of `set_left`, which it calls.
+        on_growth: Called when much more is held than at the last call of `set_left`, or much has changed. It calls
+            `set_left`.
+        changes_left: After how many more changes it is called at the latest.
         objects: What open connections cost; not a part of what is held.
         bodies: Bytes of request bodies, and of buffers of uploads.
         input: Bytes of heads, of input that is not parsed yet, and of responses that clients have not taken.
@@ -60,6 +67,7 @@
     __slots__ = (
         "bodies",
         "budget",
+        "changes_left",
         "grown_at",
         "input",
         "objects",
@@ -74,6 +82,7 @@
         self.share = self.budget = share
         self.on_growth: Callable[[], None] | None = None
         self.grown_at = 0
+        self.changes_left = 0
         self.objects = 0
         self.bodies = 0
         self.input = 0
@@ -87,11 +96,14 @@
         return self.bodies + self.input + self.upstream
 
     def note_peak(self) -> None:
-        """Notes the present total, after bytes were added, and has the budget adapted if there are many."""
+        """Notes the present total after a change, and has the budget adapted if much has changed."""
         held = self.bodies + self.input + self.upstream
         if held > self.peak:
             self.peak = held
-        if self.on_growth is not None and held + self.objects >= self.grown_at:
+        self.changes_left -= 1
+        if self.changes_left > 0 and held + self.objects < self.grown_at:
+            return
+        if self.on_growth is not None:
             self.on_growth()
 
     def refresh(self) -> None:
@@ -109,6 +121,7 @@
         self.budget = min(self.share, max(MIN_BUDGET_BYTES, held + left))
         growth = max(MIN_GROWTH_BYTES, min(MAX_GROWTH_BYTES, left // GROWTH_DIVISOR))
         self.grown_at = held + self.objects + growth
+        self.changes_left = SCARCE_CHANGES_PER_CHECK if left < SCARCE_BYTES else CHANGES_PER_CHECK
 
     def connection_opened(self) -> None:
         """Counts the objects of a connection."""
--- a/tests/test_memory_control.py
+++ b/tests/test_memory_control.py
@@ -16,9 +16,11 @@
 from harecross.node.process_sizes import ProcessSizes
 from harecross.platform.allocator import FreeMemory
 from harecross.platform.memory_ledger import (
+    CHANGES_PER_CHECK,
     CONNECTION_BYTES,
     MAX_GROWTH_BYTES,
     MIN_BUDGET_BYTES,
+    SCARCE_CHANGES_PER_CHECK,
     MemoryLedger,
 )
 from harecross.platform.process_memory import ProcessSize, ResidentSize
@@ -51,6 +53,20 @@
         self.free = 0
 
 
+@pytest.mark.parametrize(
+    ("size", "changes"), [(10 * MB, CHANGES_PER_CHECK), (29 * MB + MB // 4, SCARCE_CHANGES_PER_CHECK)]
+)
+def test_the_size_is_asked_for_although_no_more_is_held(size, changes):
+    """Guards against a process that grows while connections come and go, and is not looked at."""
+    process = Process(size)
+    process.control.check()
+    process.size = LIMIT
+    for _ in range(changes):
+        process.ledger.connection_opened()
+        process.ledger.connection_closed()
+    assert process.ledger.budget == MIN_BUDGET_BYTES
+
+
 def test_the_budget_is_what_the_process_leaves_of_the_limit():
     """Guards against a budget that is a part of the limit, whatever the process takes itself."""
     process = Process(26 * MB)
