--- a/tests/test_turn_shares.py
+++ b/tests/test_turn_shares.py
@@ -10,7 +10,9 @@
 
 from benchmarks.other_clients import Crowd, Servers, measure
 from harecross.downstream.client_connection import ClientConnection
+from harecross.downstream.input_reader import EVENTS_PER_TURN
 from harecross.downstream.request_receiver import RequestReceiver
+from harecross.platform.memory_ledger import READ_BYTES, MemoryLedger
 from harecross.soak.abusive_clients import HEALTH_CHECK, upload_head
 
 # A turn of 50 ms, the slack that the protocol gives a node's sockets, holds more of each than this.
@@ -49,8 +51,10 @@
     return sock
 
 
-def test_pipelined_health_checks_take_a_bounded_share_of_a_turn(monkeypatch):
-    """Guards against one read that is parsed and answered in a single turn, however many requests it holds."""
+@pytest.mark.parametrize("read_bytes", [READ_BYTES, EVENTS_PER_TURN * len(HEALTH_CHECK)])
+def test_pipelined_health_checks_take_a_bounded_share_of_a_turn(read_bytes, monkeypatch):
+    """Guards against a turn in which all requests are answered, in one large read or in many that are just a share."""
+    monkeypatch.setattr(MemoryLedger, "read_bytes", lambda _: read_bytes)
     counter = TurnCounter(monkeypatch, ClientConnection, "send_response")
 
     async def test(env: NodeEnvironment) -> None:
