--- a/harecross/downstream/connection_manager.py
+++ b/harecross/downstream/connection_manager.py
@@ -349,8 +349,7 @@
 
     def sweep(self) -> None:
         """Closes connections whose timeouts have expired."""
-        if self.ledger.held > self.ledger.budget:
-            self.shed_large_bodies(self.ledger.held - self.ledger.budget)
+        self.shed_excess()
         for connection in list(self.backlogged):
             connection.settle_backlog()
         # The event loop does not tell of a close while reading is paused.
--- a/harecross/downstream/memory_reclaim.py
+++ b/harecross/downstream/memory_reclaim.py
@@ -29,6 +29,11 @@
             for connection in self.open:
                 connection.drop_retained()
 
+    def shed_excess(self) -> None:
+        """Refuses large bodies as far as more is held than the budget allows."""
+        if self.ledger.held > self.ledger.budget:
+            self.shed_large_bodies(self.ledger.held - self.ledger.budget)
+
     def shed_large_bodies(self, size: int) -> int:
         """Refuses large bodies that are received, the largest first, until `size` bytes are free; returns how many.
 
--- a/harecross/node/admin_operations.py
+++ b/harecross/node/admin_operations.py
@@ -50,6 +50,7 @@
 
     Attributes:
         started_at: The event loop's time at which the node began to serve; None until then.
+        on_refresh: Called whenever the shared folder was looked at.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.client_connections = client_connections
         self.has_current_list = membership.has_current_list
         self.list_handover = ListHandover(store, membership)
+        self.on_refresh: Callable[[], None] = lambda: None
         self.started_at: float | None = None
         self.learned_state_saved_at = self.loop.time()
         self.server = AdminServer(
@@ -143,6 +145,7 @@
         if self.store.refresh():
             self.apply_maintenance()
         self.list_handover.offer_if_needed()
+        self.on_refresh()
         self.refresh_timer = self.loop.call_later(REFRESH_INTERVAL_S, self.refresh_periodically)
 
     def apply_maintenance(self) -> None:
--- a/harecross/node/composition.py
+++ b/harecross/node/composition.py
@@ -73,6 +73,16 @@
         operations = self.admin_operations
         return operations is not None and operations.store.another_is_starting()
 
+    def make_room_for_others(self) -> None:
+        """Gives up what another process of the node needs that has just been started, before it takes it."""
+        sizes = self.memory_control.sizes
+        if sizes is None or not sizes.others_changed():
+            return
+        self.divide_resources()
+        self.memory_control.refresh()
+        self.client_connections.shed_excess()
+        self.memory_control.check()
+
     def divide_resources(self) -> None:
         """Divides descriptors and memory with another process of this node, if one is running."""
         self.resource_shares.divide(2 if self.other_processes() else 1)
@@ -180,7 +190,7 @@
     membership: Membership,
 ) -> AdminOperations:
     """Builds the handlers of the operators' calls."""
-    store = HandoverStore(options.state_folder, config.name)
+    store = options.handover_store or HandoverStore(options.state_folder, config.name)
     operations = AdminOperations(store, registry, client_connections, membership)
     if membership.additional_sources is not None:
         operations.add_sources_call(membership.additional_sources.explain)
--- a/harecross/node/memory_control.py
+++ b/harecross/node/memory_control.py
@@ -77,6 +77,11 @@
             self.sizes.refresh()
         self.check()
 
+    def note_least_size(self) -> None:
+        """Notes the present size as that of a process which has just started."""
+        if self.sizes is not None:
+            self.sizes.least_size = self.size.own
+
     def left(self) -> int:
         """Returns by how many bytes the process may still grow."""
         size = self.read_size()
--- a/harecross/node/node.py
+++ b/harecross/node/node.py
@@ -45,6 +45,8 @@
         self.client_connections = parts.client_connections
         self.admin_operations = parts.admin_operations
         parts.memory_control.on_change = lambda: log_memory_state(parts)
+        if parts.admin_operations is not None:
+            parts.admin_operations.on_refresh = parts.make_room_for_others
         self.sweeper = Sweeper(parts, options.report_interval_s)
         self.address: tuple[str, int] = ("", 0)
         self.started = asyncio.Event()
@@ -149,6 +151,7 @@
         release_code_pages()
         gc.set_threshold(*GC_THRESHOLDS)
         self.parts.memory_control.refresh()
+        self.parts.memory_control.note_least_size()
         log_memory_at_start(self.parts)
         if self.admin_operations is not None:
             self.admin_operations.node_started()
--- a/harecross/node/options.py
+++ b/harecross/node/options.py
@@ -9,6 +9,7 @@
 
 from harecross.discovery.endpoint_registry import EndpointListConsumer, EndpointRegistry
 from harecross.dispatch.dispatcher import RequestDispatcher
+from harecross.node.handover_store import HandoverStore
 
 DEFAULT_REPORT_INTERVAL_S = 10.0
 DEFAULT_LISTEN_BACKLOG = 1024
@@ -58,6 +59,7 @@
     Attributes:
         attempt_log: The path of the attempt log, or "-" for standard error. No attempt log is written if it is empty.
         inherited_listener: A listening socket that other processes may share; None if the node binds its own.
+        handover_store: The files of the node's processes, if this one is registered there already.
         state_folder: A folder that outlives the process. Without it the maintenance state is kept only in memory.
     """
 
@@ -68,3 +70,4 @@
     additional_sources: Callable[[EndpointRegistry], AdditionalSources] | None = None
     inherited_listener: socket.socket | None = None
     state_folder: str | None = None
+    handover_store: HandoverStore | None = None
--- a/harecross/node/process_sizes.py
+++ b/harecross/node/process_sizes.py
@@ -22,12 +22,16 @@
 
     Attributes:
         told: The size that this process has told last; 0 for none.
+        least_size: The size of this process when it began to serve. Another one that has told less is starting.
         others_bytes: What the other live processes and the files of the folder take, at the last `refresh`.
     """
 
     def __init__(self, store: HandoverStore) -> None:
         self.store = store
         self.told = 0
+        self.least_size = 0
+        self.folder_version = 0
+        self.live: set[str] = set()
         self.others_bytes = 0
         self.descriptor: int | None = None
 
@@ -47,15 +51,29 @@
         own = self.store.size_path
         if own is None:
             return
-        live = self.store.live_tokens()
-        total = 0
+        self.live = self.store.live_tokens()
+        sizes = dict.fromkeys(self.live, 0)
+        files = 0
         with suppress(OSError):
             for entry in os.scandir(own.parent):
                 token = entry.name.removeprefix(self.store.size_prefix)
                 if token != entry.name and entry.name != own.name:
-                    total += self.read(Path(entry.path), live=token in live)
-                total += entry.stat().st_blocks * BLOCK_BYTES
-        self.others_bytes = total
+                    sizes[token] = self.read(Path(entry.path), live=token in self.live)
+                files += entry.stat().st_blocks * BLOCK_BYTES
+        expected = (max(size, self.least_size) for token, size in sizes.items() if token in self.live)
+        self.others_bytes = files + sum(expected)
+
+    def others_changed(self) -> bool:
+        """Returns whether another process has started or ended since the last `refresh`."""
+        own = self.store.size_path
+        if own is None:
+            return False
+        with suppress(OSError):
+            version = own.parent.stat().st_mtime_ns
+            if version != self.folder_version:
+                self.folder_version = version
+                return self.store.live_tokens() != self.live
+        return False
 
     @staticmethod
     def read(path: Path, *, live: bool) -> int:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -103,8 +103,17 @@
         uncommented.unlink()
 
 
+def test_a_process_is_registered_before_most_of_the_program_is_loaded():
+    """Guards against a running process that makes room for a starting one when that has taken its size."""
+    text = (
+        "import sys, harecross.node.__main__; print(sys.modules.keys() & {'uvloop', 'harecross.node.node'})"
+    )
+    names = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, check=True).stdout
+    assert names.strip() == "set()"
+
+
 def test_a_node_starts_without_importing_any_extra():
-    text = "import sys, harecross.node.__main__; print([m for m in sys.modules])"
+    text = "import sys, harecross.node.__main__, harecross.node.launch; print([m for m in sys.modules])"
     names = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, check=True).stdout
     for extra in (
         "msgspec",
--- a/tests/test_memory_control.py
+++ b/tests/test_memory_control.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from node_support import NodeEnvironment, run_with_node
+from node_support import NodeEnvironment, run_with_node, wait_until
 
 from harecross.node.handover_store import HandoverStore
 from harecross.node.memory_control import (
@@ -24,10 +24,13 @@
     MemoryLedger,
 )
 from harecross.platform.process_memory import ProcessSize, ResidentSize
+from harecross.soak.abusive_clients import upload_head
 
 MB = 1 << 20
 LIMIT = 32 * MB
 SHARE = 8 * MB
+BODIES = 20
+BODY_BYTES = 50_000
 
 
 class Process(FreeMemory):
@@ -157,6 +160,50 @@
     assert not list(tmp_path.glob("*.size-*"))[1:]
 
 
+def test_a_process_that_has_not_told_its_size_counts_like_this_one(tmp_path):
+    """Guards against a running process that makes room for a starting one when that has its size already."""
+    running = Process(14 * MB)
+    store, starting = (HandoverStore(str(tmp_path), "n0") for _ in range(2))
+    store.acquire_process_lock()
+    sizes = running.control.sizes = ProcessSizes(store)
+    running.control.refresh()
+    running.control.note_least_size()
+    assert not sizes.others_changed()
+    starting.acquire_process_lock()
+    assert sizes.others_changed()
+    running.control.refresh()
+    assert not sizes.others_changed()
+    assert running.control.left() <= LIMIT - RESERVE_BYTES - 28 * MB
+    starting.release_process_lock()
+    assert sizes.others_changed()
+
+
+def test_a_running_process_refuses_large_bodies_for_one_that_starts(tmp_path):
+    """Guards against two processes that together pass the limit until the next sweep."""
+
+    async def test(env: NodeEnvironment) -> None:
+        parts = env.node.parts
+        control, store = parts.memory_control, HandoverStore(str(tmp_path), "n0")
+        store.acquire_process_lock()
+        control.sizes = ProcessSizes(store)
+        control.read_size = lambda: ProcessSize(14 * MB, 14 * MB)
+        control.limit = LIMIT
+        control.refresh()
+        control.note_least_size()
+        clients = [await env.client() for _ in range(BODIES)]
+        for number, client in enumerate(clients):
+            client.writer.write(upload_head("Content-Length: 60000", f"r{number}") + bytes(BODY_BYTES))
+        await wait_until(lambda: parts.pool.ledger.bodies == BODIES * BODY_BYTES)
+        starting = HandoverStore(str(tmp_path), "n0")
+        starting.acquire_process_lock()
+        control.limit = 28 * MB
+        parts.make_room_for_others()
+        assert parts.pool.ledger.held <= MIN_BUDGET_BYTES
+        starting.release_process_lock()
+
+    run_with_node(test)
+
+
 def test_a_change_of_short_memory_is_told_at_most_once_a_second():
     """Guards against a log without a line before a kill, and against one that a crowd fills."""
     process = Process(20 * MB)
