--- a/tests/test_memory_limit_upgrade.py
+++ b/tests/test_memory_limit_upgrade.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize("memory_mb", [32, 48, 64])
-@pytest.mark.parametrize("kind", ["half small bodies", "endless trailers", "mix"])
+@pytest.mark.parametrize("kind", ["half small bodies", "endless trailers", "mix", "slow readers"])
 def test_an_upgrade_keeps_to_the_limit_of_one_node(kind, memory_mb):
     """Guards against a second process that pays its footprint and its share again."""
 
