A streamed response is read in large parts while memory is short, too

Found on the last read: the admission of responses that are held until they are complete asked the same question twice, once without asking whether the response is streamed. While half of the budget was used, at any limit, a download was read in parts of 2 KB.

Change: one question, needs_admission, asked in both places. The new test failed before (1,035 reads for 2 MB) and passes. Two tests of this file share how they begin.

--- a/harecross/upstream/connection.py
+++ b/harecross/upstream/connection.py
@@ -129,7 +129,7 @@
         size = self.pool.ledger.read_bytes()
         if size == READ_BYTES:
             return READ_VIEW
-        return READ_VIEW[: size if self.pool.response_reads.may_read(self) else MIN_READ_BYTES]
+        return READ_VIEW[: MIN_READ_BYTES if self.needs_admission() else size]
 
     def buffer_updated(self, nbytes: int) -> None:
         """See `asyncio.BufferedProtocol`."""
--- a/harecross/upstream/response_forwarding.py
+++ b/harecross/upstream/response_forwarding.py
@@ -85,15 +85,20 @@
         else:
             self.transport.resume_reading()
 
-    def admit_response(self) -> None:
-        """Leaves the rest of a response that is held until it is complete in the kernel, when memory is short.
+    def needs_admission(self) -> bool:
+        """Returns whether no more than the beginning of the response may be read before it is admitted.
 
         A streamed response needs no admission: it is read as its client takes it.
         """
-        reads = self.pool.response_reads
-        if self.parser is None or self.parser.streaming or self.transport is None or reads.may_read(self):
+        if self.parser is None or self.parser.streaming:
+            return False
+        return not self.pool.response_reads.may_read(self)
+
+    def admit_response(self) -> None:
+        """Leaves the rest of a response that is held until it is complete in the kernel until there is room."""
+        if self.transport is None or not self.needs_admission():
             return
-        if not reads.admit(self):
+        if not self.pool.response_reads.admit(self):
             self.transport.pause_reading()
 
     def end_admission(self) -> None:
--- a/tests/test_response_reads.py
+++ b/tests/test_response_reads.py
@@ -13,6 +13,7 @@
 from harecross.http.body_buffer import MAX_BUFFERED_BODY_BYTES
 from harecross.platform.memory_ledger import MIN_BUDGET_BYTES, MIN_READ_BYTES, MemoryLedger
 from harecross.standins.http import answer
+from harecross.upstream.connection import ServerConnection
 from harecross.upstream.response_reads import ResponseReads
 
 BUDGET_BYTES = 1 << 20
@@ -21,6 +22,15 @@
 SERVERS = 12
 RESPONSE_BYTES = 60_000
 SMALL_BUFFER_BYTES = 4096
+STREAM_BUDGET_BYTES = 1 << 25
+STREAM_BYTES = 1 << 21
+
+
+async def requests_of_many(env: NodeEnvironment) -> tuple[list[Client], list[ReceivedRequest]]:
+    """Sends a request of each of many clients, and stops the budget from following the size of the process."""
+    env.node.dispatcher.pool.ledger.on_growth = None
+    clients = [await env.client() for _ in range(RESPONSES)]
+    return clients, await sent_requests(env, clients)
 
 
 async def sent_requests(env: NodeEnvironment, clients: list[Client]) -> list[ReceivedRequest]:
@@ -147,9 +157,7 @@
 
     async def test(env: NodeEnvironment) -> None:
         pool = env.node.dispatcher.pool
-        clients = [await env.client() for _ in range(RESPONSES)]
-        requests = await sent_requests(env, clients)
-        pool.ledger.on_growth = None
+        clients, requests = await requests_of_many(env)
         pool.ledger.set_share(BUDGET_BYTES)
         response = answer(200, bytes(RESPONSE_BYTES))
         for request in requests:
@@ -195,9 +203,7 @@
 
     async def test(env: NodeEnvironment) -> None:
         pool = env.node.dispatcher.pool
-        clients = [await env.client() for _ in range(RESPONSES)]
-        requests = await sent_requests(env, clients)
-        pool.ledger.on_growth = None
+        clients, requests = await requests_of_many(env)
         pool.ledger.set_share(MIN_READ_BYTES)
         for request in requests:
             request.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % MAX_BUFFERED_BODY_BYTES)
@@ -210,3 +216,29 @@
         assert not pool.response_reads.waiting
 
     run_with_node(test, SERVERS)
+
+
+def test_a_streamed_response_is_read_in_large_parts_while_memory_is_short(monkeypatch):
+    """Guards against a slow download because of responses that are held until they are complete."""
+    parts: list[int] = []
+    buffer_updated = ServerConnection.buffer_updated
+
+    def spy(self: ServerConnection, nbytes: int) -> None:
+        parts.append(nbytes)
+        buffer_updated(self, nbytes)
+
+    monkeypatch.setattr(ServerConnection, "buffer_updated", spy)
+
+    async def test(env: NodeEnvironment) -> None:
+        ledger = env.node.dispatcher.pool.ledger
+        ledger.on_growth = None
+        client = await env.client()
+        [request] = await sent_requests(env, [client])
+        ledger.set_share(STREAM_BUDGET_BYTES)
+        ledger.upstream += STREAM_BUDGET_BYTES * 5 // 8
+        parts.clear()
+        request.answer(body=bytes(STREAM_BYTES))
+        assert (await client.answer())[0] == 200
+        assert len(parts) <= STREAM_BYTES // MIN_READ_BYTES // 4
+
+    run_with_node(test)
