--- a/harecross/platform/memory_ledger.py
+++ b/harecross/platform/memory_ledger.py
@@ -101,10 +101,8 @@
         if held > self.peak:
             self.peak = held
         self.changes_left -= 1
-        if self.changes_left > 0 and held + self.objects < self.grown_at:
-            return
-        if self.on_growth is not None:
-            self.on_growth()
+        if self.changes_left <= 0 or held + self.objects >= self.grown_at:
+            self.refresh()
 
     def refresh(self) -> None:
         """Has the budget adapted to the present size of the process."""
