Traced: the test of the listen backlog ran out of the node's wait for a list, not of a fault

The node waits 0.5 s for its first list; the test has to answer within that, slept 0.1 s and read the kernel's table of connections to find the port, which takes long beside thousands of connections (the new crowds). After 0.5 s the node has no list and answers 503, as it has to.

The node gets an address of the test's own, and the test connects as soon as it listens.

--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -38,6 +38,7 @@
 SLACK = 0.15  # seconds
 STOPPED_S = 0.35  # the process is stopped for this time
 MS = 1000
+OWN_PORT = 9100
 
 
 def seconds(text: bytes) -> float:
@@ -121,15 +122,13 @@
         origin = await ScriptedServer().start()
         address, calls = await unanswered_discovery()
         known = update(41, entry("s0", origin.address), reset=True)
-        node = NodeProcess("n0", tmp_path, config_dict(address, known=known))
+        listen = own_address()
+        config = config_dict(address, known=known, listen="{}:{}".format(*listen))
+        node = NodeProcess("n0", tmp_path, config)
         starting = asyncio.create_task(node.start(None))
         try:
-            watch = await calls.get()  # the node already listens and waits for its first endpoint list
-            await asyncio.sleep(0.1)
-            client = None
-            for port in listening_ports(node):
-                client = await Client.open(("127.0.0.1", port))
-            assert client is not None
+            watch = await calls.get()  # the node is about to listen, and waits for its first endpoint list
+            client = await open_when_listening(listen)
             sent = time.monotonic()
             client.send("/read/1", left="900m")
             await asyncio.sleep(0.25)
@@ -145,17 +144,19 @@
     run(test())
 
 
-def listening_ports(node: NodeProcess) -> list[int]:
-    """Returns the ports on which the process listens, as the kernel reports them."""
-    assert node.process is not None
-    inodes = set()
-    for name in os.listdir(f"/proc/{node.process.pid}/fd"):
-        target = os.readlink(f"/proc/{node.process.pid}/fd/{name}")
-        if target.startswith("socket:["):
-            inodes.add(target[8:-1])
-    with open("/proc/net/tcp") as table:
-        rows = [line.split() for line in table][1:]
-    return [int(row[1].rpartition(":")[2], 16) for row in rows if row[3] == "0A" and row[9] in inodes]
+def own_address() -> tuple[str, int]:
+    """Returns an address of this test process alone, with a port that no outgoing connection gets."""
+    pid = os.getpid()
+    return f"127.77.{pid >> 8 & 255}.{pid & 255}", OWN_PORT
+
+
+async def open_when_listening(address: tuple[str, int]) -> Client:
+    """Connects as soon as a process listens."""
+    while True:
+        try:
+            return await Client.open(address)
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.005)
 
 
 def test_time_behind_many_other_connections_counts_against_the_timeout():
